--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/config/References.java
@@ -0,0 +1,49 @@
+package org.arbutusspar.core.config;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.arbutusspar.core.id.ObjectName;
+
+/** Check that objects refer only to objects that exist and fit. */
+public final class References {
+
+  private References() {}
+
+  /**
+   * Returns a message about the first reference that leads nowhere or to a service of another kind.
+   *
+   * @param objects all objects of a configuration, not null
+   * @return the message, or an empty text if every reference holds
+   */
+  public static String firstDangling(Collection<VersionedObject> objects) {
+    Map<ObjectName, Service> services = new HashMap<>();
+    for (VersionedObject each : objects) {
+      if (each.object() instanceof Service service) {
+        services.put(service.name(), service);
+      }
+    }
+    for (VersionedObject each : objects) {
+      if (each.object() instanceof Pipeline pipeline) {
+        String message = firstDangling(pipeline, services);
+        if (!message.isEmpty()) {
+          return message;
+        }
+      }
+    }
+    return "";
+  }
+
+  private static String firstDangling(Pipeline pipeline, Map<ObjectName, Service> services) {
+    for (Stage stage : pipeline.stages()) {
+      Service service = services.get(stage.service());
+      if (service == null) {
+        return pipeline.key() + " refers to missing service " + stage.service();
+      }
+      if (service.kind() != stage.kind()) {
+        return pipeline.key() + " uses service " + service.name() + " for another kind of stage";
+      }
+    }
+    return "";
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/config/Workspace.java
@@ -0,0 +1,38 @@
+package org.arbutusspar.core.config;
+
+import java.util.Objects;
+import org.apache.commons.lang3.Validate;
+import org.arbutusspar.core.id.ObjectName;
+import org.arbutusspar.core.id.WorkspaceId;
+
+/**
+ * A workspace, its key and its share of the deployment.
+ *
+ * @param name the name
+ * @param keySha256 SHA-256 of the workspace's key, in lower-case hexadecimal
+ * @param share weight against other workspaces
+ */
+public record Workspace(ObjectName name, String keySha256, int share) implements ConfigObject {
+
+  /** Largest weight. */
+  public static final int MAX_SHARE = 1_000;
+
+  /** Checks the components. */
+  public Workspace {
+    Objects.requireNonNull(name, "name");
+    Validate.isTrue(
+        keySha256 != null && keySha256.matches("[0-9a-f]{64}"),
+        "keySha256 must be 64 lower-case hexadecimal digits");
+    Validate.inclusiveBetween(1, MAX_SHARE, share, "share must be from 1 to 1000");
+  }
+
+  /** Returns the workspace's identifier. */
+  public WorkspaceId id() {
+    return WorkspaceId.of(name.value());
+  }
+
+  @Override
+  public ObjectKey key() {
+    return new ObjectKey(ObjectKind.WORKSPACE, name);
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Actions.java
@@ -0,0 +1,65 @@
+package org.arbutusspar.core.flow;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutusspar.core.id.RequestKey;
+import org.arbutusspar.core.request.Outcome;
+
+/** Collects the actions that one event leads to. */
+final class Actions {
+
+  private static final String NONE = "-";
+
+  private List<Action> list = new ArrayList<>();
+
+  private Actions() {}
+
+  static Actions create() {
+    return new Actions();
+  }
+
+  void add(Action action) {
+    list.add(action);
+  }
+
+  /** Returns the collected actions and starts anew. */
+  List<Action> take() {
+    List<Action> taken = list;
+    list = new ArrayList<>();
+    return taken;
+  }
+
+  void record(Decision.Kind kind, RequestKey key, String step, String peer, String detail) {
+    add(
+        new Action.Record(
+            new Decision(kind, key.id().toString(), key.workspace().value(), step, peer, detail)));
+  }
+
+  void record(Decision.Kind kind, String step, String peer, String detail) {
+    add(new Action.Record(new Decision(kind, NONE, NONE, step, peer, detail)));
+  }
+
+  void reply(CallerId caller, RequestKey key, Outcome outcome) {
+    add(new Action.Reply(caller, key, outcome));
+  }
+
+  /** Replies that a request has no answer, and records the decision. */
+  void refuse(CallerId caller, RequestKey key, Outcome.Refused outcome) {
+    recordRefusal(key, outcome);
+    reply(caller, key, outcome);
+  }
+
+  void recordRefusal(RequestKey key, Outcome.Refused outcome) {
+    record(
+        Decision.Kind.REFUSE,
+        key,
+        outcome.origin().step(),
+        outcome.origin().peer(),
+        "verdict="
+            + outcome.verdict()
+            + " reason="
+            + outcome.reason().label()
+            + " comeBackMs="
+            + outcome.comeBackMillis());
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/ActiveRequest.java
@@ -0,0 +1,219 @@
+package org.arbutusspar.core.flow;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.config.Stage;
+import org.arbutusspar.core.id.AttemptId;
+import org.arbutusspar.core.id.ReplicaId;
+import org.arbutusspar.core.id.RequestKey;
+import org.arbutusspar.core.request.Outcome;
+import org.arbutusspar.core.request.Request;
+import org.arbutusspar.core.request.RequestData;
+
+/** A request between admission and outcome. Changed by the decision thread only. */
+final class ActiveRequest {
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final Request request;
+  private final List<Stage> stages;
+  private final WorkspaceShare workspace;
+  private final List<CallerId> callers = new ArrayList<>(1);
+  private final List<Attempt> attempts = new ArrayList<>(1);
+  private final List<Outcome.StageCost> costs = new ArrayList<>();
+  private final Set<ReplicaId> usedReplicas = new HashSet<>();
+  private RequestData data;
+  private int stageIndex;
+  private int attemptCount;
+  private int mayHaveRun;
+  private boolean uncertain;
+  private boolean told;
+  private int emittingAttempt;
+  private QueueEntry queued;
+  private CallerId streamer;
+
+  private ActiveRequest(Request request, List<Stage> stages, WorkspaceShare workspace) {
+    this.request = request;
+    this.stages = stages;
+    this.workspace = workspace;
+    this.data = request.data();
+  }
+
+  static ActiveRequest create(Request request, List<Stage> stages, WorkspaceShare workspace) {
+    return new ActiveRequest(request, stages, workspace);
+  }
+
+  Request request() {
+    return request;
+  }
+
+  RequestKey key() {
+    return request.key();
+  }
+
+  WorkspaceShare workspace() {
+    return workspace;
+  }
+
+  List<CallerId> callers() {
+    return callers;
+  }
+
+  /** Adds the caller that brought the request. */
+  void addFirstCaller(CallerId caller, boolean streaming) {
+    callers.add(caller);
+    streamer = streaming ? caller : null;
+  }
+
+  /** Returns the caller that wants parts of the answer as they come, while it is connected. */
+  Optional<CallerId> streamer() {
+    return Optional.ofNullable(streamer).filter(callers::contains);
+  }
+
+  RequestData data() {
+    return data;
+  }
+
+  Stage stage() {
+    return stages.get(stageIndex);
+  }
+
+  int stageIndex() {
+    return stageIndex;
+  }
+
+  /** Returns the stages from the current one on. */
+  List<Stage> remainingStages() {
+    return stages.subList(stageIndex, stages.size());
+  }
+
+  boolean isLastStage() {
+    return stageIndex == stages.size() - 1;
+  }
+
+  double remainingMillis(long now) {
+    return Nanos.toMillis(request.deadlineNanos() - now);
+  }
+
+  /** Moves on to the next stage with the data that the current one left. */
+  void advance(RequestData next) {
+    data = next;
+    stageIndex++;
+    usedReplicas.clear();
+  }
+
+  /** Takes the data of the last stage. */
+  void complete(RequestData next) {
+    data = next;
+  }
+
+  AttemptId nextAttemptId() {
+    attemptCount++;
+    return new AttemptId(key(), stageIndex, attemptCount);
+  }
+
+  int attemptCount() {
+    return attemptCount;
+  }
+
+  List<Attempt> attempts() {
+    return attempts;
+  }
+
+  Set<ReplicaId> usedReplicas() {
+    return usedReplicas;
+  }
+
+  void onSent(Attempt attempt) {
+    attempts.add(attempt);
+    usedReplicas.add(attempt.replica().listed().id());
+    mayHaveRun++;
+  }
+
+  Optional<Attempt> find(AttemptId id) {
+    return attempts.stream().filter(a -> a.id().equals(id)).findFirst();
+  }
+
+  /** Removes an attempt that ended and books its cost. */
+  void onEnded(Attempt attempt, long now) {
+    attempts.remove(attempt);
+    double millis = Nanos.toMillis(now - attempt.sentNanos());
+    double price = millis / MILLIS_PER_SECOND * attempt.pool().service().cost().pricePerSecond();
+    addCost(attempt.pool().service().name().value(), millis, price);
+  }
+
+  private void addCost(String service, double millis, double price) {
+    for (Iterator<Outcome.StageCost> it = costs.iterator(); it.hasNext(); ) {
+      Outcome.StageCost cost = it.next();
+      if (cost.service().equals(service)) {
+        it.remove();
+        costs.add(new Outcome.StageCost(service, cost.millis() + millis, cost.price() + price));
+        return;
+      }
+    }
+    costs.add(new Outcome.StageCost(service, millis, price));
+  }
+
+  /** Learns that no byte of an attempt was handed over. */
+  void onNotSent() {
+    mayHaveRun--;
+  }
+
+  /** Learns that it cannot be told whether an attempt took effect. */
+  void onUncertain() {
+    uncertain = true;
+  }
+
+  boolean isUncertain() {
+    return uncertain;
+  }
+
+  /** Returns the attempts, ended ones included, of which a byte may have been handed over. */
+  int mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  boolean hasRun() {
+    return mayHaveRun > 0;
+  }
+
+  List<Outcome.StageCost> costs() {
+    return costs;
+  }
+
+  /** Returns whether the callers have got a final answer while an attempt still runs. */
+  boolean isTold() {
+    return told;
+  }
+
+  void markTold() {
+    told = true;
+    callers.clear();
+  }
+
+  Optional<QueueEntry> queued() {
+    return Optional.ofNullable(queued);
+  }
+
+  void queue(QueueEntry entry) {
+    queued = entry;
+  }
+
+  void unqueue() {
+    queued = null;
+  }
+
+  /** Returns the attempt whose parts streaming callers have got, or 0. */
+  int emittingAttempt() {
+    return emittingAttempt;
+  }
+
+  void emitting(int attempt) {
+    emittingAttempt = attempt;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Forwards.java
@@ -0,0 +1,80 @@
+package org.arbutusspar.core.flow;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.id.Home;
+import org.arbutusspar.core.id.RequestKey;
+import org.arbutusspar.core.request.Outcome;
+import org.arbutusspar.core.request.Reason;
+
+/** Callers whose request or question was handed to the incarnation that is its home. */
+final class Forwards {
+
+  /** Most callers that wait for other instances. */
+  static final int MAX_FORWARDS = 20_000;
+
+  private static final String STEP = "forward";
+  private static final long GRACE_NANOS = Nanos.ofMillis(100);
+
+  private final Map<CallerId, Forward> waiting = new HashMap<>();
+  private final Actions actions;
+
+  private Forwards(Actions actions) {
+    this.actions = actions;
+  }
+
+  static Forwards create(Actions actions) {
+    return new Forwards(actions);
+  }
+
+  boolean isFull() {
+    return waiting.size() >= MAX_FORWARDS;
+  }
+
+  void onForwarded(CallerId caller, RequestKey key, Home home, long deadlineNanos) {
+    waiting.put(caller, new Forward(key, home, deadlineNanos + GRACE_NANOS));
+    actions.record(Decision.Kind.FORWARD, key, STEP, home.toString(), "reason=home");
+  }
+
+  void onReplied(CallerId caller, Outcome outcome) {
+    Forward forward = waiting.remove(caller);
+    if (forward != null) {
+      actions.reply(caller, forward.key(), outcome);
+    }
+  }
+
+  void onLost(CallerId caller) {
+    Forward forward = waiting.remove(caller);
+    if (forward != null) {
+      refuse(caller, forward, Reason.HOME_GONE);
+    }
+  }
+
+  void onCallerLeft(CallerId caller) {
+    waiting.remove(caller);
+  }
+
+  void onTick(long now) {
+    for (Iterator<Map.Entry<CallerId, Forward>> it = waiting.entrySet().iterator();
+        it.hasNext(); ) {
+      Map.Entry<CallerId, Forward> entry = it.next();
+      if (now >= entry.getValue().deadlineNanos()) {
+        it.remove();
+        refuse(entry.getKey(), entry.getValue(), Reason.DEADLINE);
+      }
+    }
+  }
+
+  int size() {
+    return waiting.size();
+  }
+
+  private void refuse(CallerId caller, Forward forward, Reason reason) {
+    Outcome.Origin origin = new Outcome.Origin(STEP, forward.home().toString());
+    actions.refuse(caller, forward.key(), Refusals.unknown(reason, origin));
+  }
+
+  private record Forward(RequestKey key, Home home, long deadlineNanos) {}
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/HomeRule.java
@@ -0,0 +1,58 @@
+package org.arbutusspar.core.flow;
+
+import java.util.Optional;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.id.RequestId;
+import org.arbutusspar.core.request.Outcome;
+import org.arbutusspar.core.request.Reason;
+
+/**
+ * Decides whether the incarnation that is home to an identifier may start a non-repeatable request
+ * under it.
+ *
+ * <p>A request is started only within {@link #START_MILLIS} of the identifier's issue, and its
+ * outcome is kept for much longer. So an identifier without a kept outcome was never started, until
+ * it is so old that an outcome may have been forgotten.
+ */
+final class HomeRule {
+
+  /** How long after its issue a request may start under an identifier. */
+  static final long START_MILLIS = 60_000;
+
+  /** Largest difference between the wall clocks of two instances. */
+  static final long SKEW_MILLIS = 30_000;
+
+  private static final String STEP = "identifier";
+
+  private HomeRule() {}
+
+  /**
+   * Returns why a request without a kept outcome may not start.
+   *
+   * @param id the identifier
+   * @param wallMillis wall-clock time, milliseconds since the epoch
+   * @return the refusal, or empty if the request may start
+   */
+  static Optional<Outcome.Refused> refusal(RequestId id, long wallMillis) {
+    long age = wallMillis - id.prefix().issuedAtMillis();
+    if (age >= -SKEW_MILLIS && age <= START_MILLIS + SKEW_MILLIS) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        isForgettable(id, wallMillis)
+            ? Refusals.unknown(Reason.NOT_KEPT, Outcome.Origin.local(STEP))
+            : Refusals.notRun(Reason.IDENTIFIER_EXPIRED, STEP, 0));
+  }
+
+  /**
+   * Returns whether the outcome of a request under an identifier may have been forgotten.
+   *
+   * @param id the identifier
+   * @param wallMillis wall-clock time, milliseconds since the epoch
+   * @return true if no kept outcome proves nothing
+   */
+  static boolean isForgettable(RequestId id, long wallMillis) {
+    long keepMillis = (long) Nanos.toMillis(OutcomeStore.KEEP_NANOS);
+    return wallMillis - id.prefix().issuedAtMillis() >= keepMillis - SKEW_MILLIS;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/OpenAdmission.java
@@ -0,0 +1,17 @@
+package org.arbutusspar.core.flow;
+
+/** Admits every request: the baseline for {@link PredictiveAdmission}. */
+public final class OpenAdmission implements Admission {
+
+  private OpenAdmission() {}
+
+  /** Returns the policy. */
+  public static OpenAdmission create() {
+    return new OpenAdmission();
+  }
+
+  @Override
+  public long decide(PathForecast forecast) {
+    return ADMIT;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/OutcomeStore.java
@@ -0,0 +1,116 @@
+package org.arbutusspar.core.flow;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.id.RequestKey;
+import org.arbutusspar.core.id.WorkspaceId;
+import org.arbutusspar.core.request.Outcome;
+
+/**
+ * Outcomes that are kept so that a caller can ask again and a retry is recognised.
+ *
+ * <p>Outcomes of non-repeatable requests are kept for {@link #KEEP_NANOS} whatever happens: while
+ * the table has no room for one more, none is started. Other outcomes make room when the table is
+ * full, oldest first.
+ */
+final class OutcomeStore {
+
+  /** How long an outcome is kept. */
+  static final long KEEP_NANOS = Nanos.ofMillis(600_000);
+
+  /** Most outcomes of non-repeatable requests, running ones included. */
+  static final int MAX_PINNED = 60_000;
+
+  /** Most outcomes of non-repeatable requests of one workspace. */
+  static final int MAX_PINNED_OF_WORKSPACE = 20_000;
+
+  /** Fingerprint of an outcome that holds for any request under its identifier. */
+  static final long ANY_FINGERPRINT = 0;
+
+  private static final long MAX_FREE_CHARS = 16_000_000;
+  private static final int ENTRY_CHARS = 300;
+
+  private final Map<RequestKey, Kept> kept = new HashMap<>();
+  private final Deque<RequestKey> free = new ArrayDeque<>();
+  private final Deque<RequestKey> pinned = new ArrayDeque<>();
+  private final Map<WorkspaceId, Integer> pinnedByWorkspace = new HashMap<>();
+  private long freeChars;
+
+  private OutcomeStore() {}
+
+  static OutcomeStore create() {
+    return new OutcomeStore();
+  }
+
+  /** Returns whether one more non-repeatable request fits beside those that are running. */
+  boolean hasRoomToPin(WorkspaceId workspace, int running) {
+    return pinned.size() + running < MAX_PINNED
+        && pinnedByWorkspace.getOrDefault(workspace, 0) < MAX_PINNED_OF_WORKSPACE;
+  }
+
+  Optional<Kept> find(RequestKey key, long now) {
+    Kept found = kept.get(key);
+    return found == null || now >= found.expiryNanos() ? Optional.empty() : Optional.of(found);
+  }
+
+  void put(RequestKey key, long fingerprint, Outcome outcome, boolean pin, long now) {
+    expire(now);
+    Kept entry = new Kept(outcome, fingerprint, now + KEEP_NANOS, pin);
+    Kept previous = kept.put(key, entry);
+    if (previous != null) {
+      return;
+    }
+    if (pin) {
+      pinned.addLast(key);
+      pinnedByWorkspace.merge(key.workspace(), 1, Integer::sum);
+    } else {
+      free.addLast(key);
+      freeChars += entry.chars();
+      evictFree();
+    }
+  }
+
+  int size() {
+    return kept.size();
+  }
+
+  private void evictFree() {
+    while (freeChars > MAX_FREE_CHARS && !free.isEmpty()) {
+      removeFree();
+    }
+  }
+
+  private void removeFree() {
+    Kept removed = kept.remove(free.removeFirst());
+    freeChars -= removed == null ? 0 : removed.chars();
+  }
+
+  private void expire(long now) {
+    while (!pinned.isEmpty() && now >= kept.get(pinned.getFirst()).expiryNanos()) {
+      RequestKey expired = pinned.removeFirst();
+      kept.remove(expired);
+      pinnedByWorkspace.computeIfPresent(expired.workspace(), (w, n) -> n == 1 ? null : n - 1);
+    }
+    while (!free.isEmpty() && now >= kept.get(free.getFirst()).expiryNanos()) {
+      removeFree();
+    }
+  }
+
+  /** A kept outcome. */
+  record Kept(Outcome outcome, long fingerprint, long expiryNanos, boolean pinned) {
+
+    boolean matches(long other) {
+      return fingerprint == ANY_FINGERPRINT || fingerprint == other;
+    }
+
+    private int chars() {
+      return outcome instanceof Outcome.Answered answered
+          ? ENTRY_CHARS + answered.answer().length()
+          : ENTRY_CHARS;
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Refusals.java
@@ -0,0 +1,21 @@
+package org.arbutusspar.core.flow;
+
+import java.util.List;
+import org.arbutusspar.core.request.Outcome.Origin;
+import org.arbutusspar.core.request.Outcome.Refused;
+import org.arbutusspar.core.request.Outcome.Verdict;
+import org.arbutusspar.core.request.Reason;
+
+/** Makes outcomes of requests that never started. */
+final class Refusals {
+
+  private Refusals() {}
+
+  static Refused notRun(Reason reason, String step, long comeBackMillis) {
+    return new Refused(Verdict.NOT_RUN, reason, Origin.local(step), comeBackMillis, List.of());
+  }
+
+  static Refused unknown(Reason reason, Origin origin) {
+    return new Refused(Verdict.UNKNOWN, reason, origin, Refused.NEVER, List.of());
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/DataCentre.java
@@ -0,0 +1,35 @@
+package org.arbutusspar.core.id;
+
+/**
+ * Name of a data centre.
+ *
+ * @param value the name, 1 to 63 characters of a-z, 0-9 and hyphen
+ */
+public record DataCentre(String value) implements Comparable<DataCentre> {
+
+  /** Checks the name. */
+  public DataCentre {
+    Identifiers.name(value, "data centre");
+  }
+
+  /**
+   * Returns the identifier with the given name.
+   *
+   * @param value the name, not null
+   * @return the identifier
+   * @throws IllegalArgumentException if the name is malformed
+   */
+  public static DataCentre of(String value) {
+    return new DataCentre(value);
+  }
+
+  @Override
+  public int compareTo(DataCentre other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/Identifiers.java
@@ -0,0 +1,38 @@
+package org.arbutusspar.core.id;
+
+import org.apache.commons.lang3.Validate;
+
+/** Shared checks of identifier texts. */
+final class Identifiers {
+
+  /** Longest accepted name, in characters. */
+  static final int MAX_NAME_CHARS = 63;
+
+  private Identifiers() {}
+
+  /**
+   * Checks that a text is a plain name: lower-case letters, digits and hyphens.
+   *
+   * @param value the text to check, may be null
+   * @param what the noun that the error message uses
+   * @return {@code value} itself
+   * @throws IllegalArgumentException if the text is null, too long or holds another character
+   */
+  static String name(String value, String what) {
+    Validate.isTrue(value != null, "%s must not be null", what);
+    Validate.isTrue(
+        !value.isEmpty() && value.length() <= MAX_NAME_CHARS,
+        "%s must have 1 to %d characters",
+        what,
+        MAX_NAME_CHARS);
+    for (int i = 0; i < value.length(); i++) {
+      Validate.isTrue(
+          isNameChar(value.charAt(i)), "%s must hold only a-z, 0-9 and hyphen: '%s'", what, value);
+    }
+    return value;
+  }
+
+  private static boolean isNameChar(char c) {
+    return c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-';
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/ObjectName.java
@@ -0,0 +1,35 @@
+package org.arbutusspar.core.id;
+
+/**
+ * Name of a configuration object, such as a pipeline or a service.
+ *
+ * @param value the name, 1 to 63 characters of a-z, 0-9 and hyphen
+ */
+public record ObjectName(String value) implements Comparable<ObjectName> {
+
+  /** Checks the name. */
+  public ObjectName {
+    Identifiers.name(value, "object name");
+  }
+
+  /**
+   * Returns the identifier with the given name.
+   *
+   * @param value the name, not null
+   * @return the identifier
+   * @throws IllegalArgumentException if the name is malformed
+   */
+  public static ObjectName of(String value) {
+    return new ObjectName(value);
+  }
+
+  @Override
+  public int compareTo(ObjectName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/PrefixSigner.java
@@ -0,0 +1,71 @@
+package org.arbutusspar.core.id;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.apache.commons.lang3.Validate;
+
+/** Issues request prefixes and checks their signatures. Not safe for use by several threads. */
+public final class PrefixSigner {
+
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final int MIN_SECRET_BYTES = 16;
+  private static final int SIGNATURE_BYTES = 8;
+
+  private final Mac mac;
+
+  private PrefixSigner(byte[] secret) {
+    try {
+      mac = Mac.getInstance(ALGORITHM);
+      mac.init(new SecretKeySpec(secret, ALGORITHM));
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("the runtime lacks " + ALGORITHM, e);
+    }
+  }
+
+  /**
+   * Returns a signer that uses a secret shared by all entry instances of a deployment.
+   *
+   * @param secret at least 16 bytes, not null; copied
+   * @return the signer
+   * @throws IllegalArgumentException if the secret is too short
+   */
+  public static PrefixSigner create(byte[] secret) {
+    Validate.isTrue(
+        secret != null && secret.length >= MIN_SECRET_BYTES,
+        "secret must have at least %d bytes",
+        MIN_SECRET_BYTES);
+    return new PrefixSigner(secret.clone());
+  }
+
+  /**
+   * Returns a signed prefix.
+   *
+   * @param home the incarnation to name, not null
+   * @param issuedAtMillis wall-clock time, milliseconds since the epoch
+   * @return the prefix
+   */
+  public RequestPrefix issue(Home home, long issuedAtMillis) {
+    return new RequestPrefix(home, issuedAtMillis, sign(home, issuedAtMillis));
+  }
+
+  /**
+   * Returns whether the signature of a prefix is genuine.
+   *
+   * @param prefix the prefix, not null
+   * @return true if this deployment issued it
+   */
+  public boolean isGenuine(RequestPrefix prefix) {
+    byte[] expected = sign(prefix.home(), prefix.issuedAtMillis()).getBytes(StandardCharsets.UTF_8);
+    return MessageDigest.isEqual(expected, prefix.signature().getBytes(StandardCharsets.UTF_8));
+  }
+
+  private String sign(Home home, long issuedAtMillis) {
+    String text = home + "." + Long.toHexString(issuedAtMillis);
+    byte[] full = mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
+    return HexFormat.of().formatHex(full, 0, SIGNATURE_BYTES);
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/RequestPrefix.java
@@ -0,0 +1,52 @@
+package org.arbutusspar.core.id;
+
+import java.util.Objects;
+import org.apache.commons.lang3.Validate;
+
+/**
+ * Signed first part of a request identifier, handed out with an address.
+ *
+ * @param home the incarnation that is home to requests under this prefix
+ * @param issuedAtMillis wall-clock time of issue, milliseconds since the epoch
+ * @param signature truncated HMAC in hexadecimal
+ */
+public record RequestPrefix(Home home, long issuedAtMillis, String signature) {
+
+  private static final int PARTS = 4;
+  private static final int HEX_RADIX = 16;
+
+  /** Checks the components. */
+  public RequestPrefix {
+    Objects.requireNonNull(home, "home");
+    Validate.isTrue(
+        signature != null && signature.matches("[0-9a-f]{16}"), "prefix signature is malformed");
+  }
+
+  /**
+   * Returns the prefix that a text denotes. The signature is not checked here.
+   *
+   * @param text the text form, not null
+   * @return the prefix
+   * @throws IllegalArgumentException if the text is malformed
+   */
+  public static RequestPrefix parse(String text) {
+    String[] parts = text.split("\\.", -1);
+    Validate.isTrue(parts.length == PARTS, "identifier prefix must have %d parts", PARTS);
+    try {
+      Home home = new Home(InstanceId.of(parts[0]), Long.parseUnsignedLong(parts[1], HEX_RADIX));
+      return new RequestPrefix(home, Long.parseUnsignedLong(parts[2], HEX_RADIX), parts[3]);
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("identifier prefix holds a malformed number", e);
+    }
+  }
+
+  /** Returns the part of the text form that the signature covers. */
+  String signedPart() {
+    return home + "." + Long.toHexString(issuedAtMillis);
+  }
+
+  @Override
+  public String toString() {
+    return signedPart() + "." + signature;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Typed identifiers of instances, workspaces, replicas, requests and attempts. */
+package org.arbutusspar.core.id;
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/package-info.java
@@ -0,0 +1,2 @@
+/** Checks that the core's packages share. */
+package org.arbutusspar.core;
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/route/Choice.java
@@ -0,0 +1,52 @@
+package org.arbutusspar.core.route;
+
+import java.util.Objects;
+import java.util.Set;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.id.ReplicaId;
+
+/**
+ * What is known of a call when its replica is chosen.
+ *
+ * @param now the time
+ * @param predictedMillis predicted duration at an idle replica
+ * @param local data centre of the instance
+ * @param remoteMillis round trip to another data centre
+ * @param affinity hash of the prompt's beginning; equal prompts have equal hashes
+ * @param avoid replicas that other attempts of the same stage have used
+ */
+public record Choice(
+    long now,
+    double predictedMillis,
+    DataCentre local,
+    double remoteMillis,
+    long affinity,
+    Set<ReplicaId> avoid) {
+
+  /** Checks the components and copies the set. */
+  public Choice {
+    Objects.requireNonNull(local, "local");
+    avoid = Set.copyOf(avoid);
+  }
+
+  /**
+   * Returns whether a replica may be chosen.
+   *
+   * @param replica the replica, not null
+   * @return true if it may get one more call and is not to be avoided
+   */
+  public boolean admits(Replica replica) {
+    return replica.isEligible(now) && !avoid.contains(replica.listed().id());
+  }
+
+  /**
+   * Returns when the call is predicted to end at a replica.
+   *
+   * @param replica the replica, not null
+   * @return milliseconds from now
+   */
+  public double finishMillis(Replica replica) {
+    double distance = replica.listed().dataCentre().equals(local) ? 0 : remoteMillis;
+    return predictedMillis * replica.loadFactor(now) + distance;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/route/LeastInFlightChooser.java
@@ -0,0 +1,21 @@
+package org.arbutusspar.core.route;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Chooses the eligible replica with the fewest own calls in flight: a baseline. */
+public final class LeastInFlightChooser implements ReplicaChooser {
+
+  private LeastInFlightChooser() {}
+
+  /** Returns a chooser. */
+  public static LeastInFlightChooser create() {
+    return new LeastInFlightChooser();
+  }
+
+  @Override
+  public Optional<Replica> choose(List<Replica> pool, Choice choice) {
+    return pool.stream().filter(choice::admits).min(Comparator.comparingInt(Replica::inFlight));
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/route/RandomChooser.java
@@ -0,0 +1,33 @@
+package org.arbutusspar.core.route;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Chooses any eligible replica: a baseline. */
+public final class RandomChooser implements ReplicaChooser {
+
+  private final UniformRandomProvider random;
+
+  private RandomChooser(UniformRandomProvider random) {
+    this.random = random;
+  }
+
+  /**
+   * Returns a chooser.
+   *
+   * @param random source of random numbers, not null
+   * @return the chooser
+   */
+  public static RandomChooser create(UniformRandomProvider random) {
+    return new RandomChooser(random);
+  }
+
+  @Override
+  public Optional<Replica> choose(List<Replica> pool, Choice choice) {
+    List<Replica> admitted = pool.stream().filter(choice::admits).toList();
+    return admitted.isEmpty()
+        ? Optional.empty()
+        : Optional.of(admitted.get(random.nextInt(admitted.size())));
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/route/RoundRobinChooser.java
@@ -0,0 +1,28 @@
+package org.arbutusspar.core.route;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Chooses the eligible replicas in turn: a baseline. */
+public final class RoundRobinChooser implements ReplicaChooser {
+
+  private int next;
+
+  private RoundRobinChooser() {}
+
+  /** Returns a chooser that starts with the first replica. */
+  public static RoundRobinChooser create() {
+    return new RoundRobinChooser();
+  }
+
+  @Override
+  public Optional<Replica> choose(List<Replica> pool, Choice choice) {
+    for (int i = 0; i < pool.size(); i++) {
+      Replica candidate = pool.get(Math.floorMod(next++, pool.size()));
+      if (choice.admits(candidate)) {
+        return Optional.of(candidate);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/AddressCache.java
@@ -0,0 +1,98 @@
+package org.arbutusspar.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.StepException;
+import org.arbutusspar.io.codec.Mappers;
+import org.arbutusspar.io.http.HttpCall;
+import org.arbutusspar.io.http.HttpCaller;
+import org.arbutusspar.io.http.HttpReply;
+
+/** Keeps the answer to "which address?" as long as it may be kept. Safe for several threads. */
+final class AddressCache {
+
+  private static final long TIMEOUT_MILLIS = 1_000;
+
+  private final HttpCaller http;
+  private final List<Endpoint> seeds;
+  private final String query;
+  private List<CallerAddress> addresses = List.of();
+  private long expiryNanos;
+  private int nextSeed;
+  private CompletableFuture<List<CallerAddress>> pending;
+
+  private AddressCache(HttpCaller http, List<Endpoint> seeds, String dataCentre) {
+    this.http = http;
+    this.seeds = List.copyOf(seeds);
+    this.query = dataCentre.isEmpty() ? "" : "?dc=" + dataCentre;
+  }
+
+  static AddressCache create(HttpCaller http, List<Endpoint> seeds, String dataCentre) {
+    return new AddressCache(
+        Objects.requireNonNull(http, "http"), seeds, Objects.requireNonNull(dataCentre));
+  }
+
+  /** Returns the addresses to use, best first; asks again if the last answer is too old. */
+  synchronized CompletableFuture<List<CallerAddress>> get() {
+    if (!addresses.isEmpty() && System.nanoTime() < expiryNanos) {
+      return CompletableFuture.completedFuture(addresses);
+    }
+    if (pending == null) {
+      pending = ask(0);
+      pending.whenComplete((list, failure) -> clearPending());
+    }
+    return pending;
+  }
+
+  /** Forgets an address at which nobody answered. */
+  synchronized void drop(CallerAddress address) {
+    addresses = addresses.stream().filter(a -> !a.equals(address)).toList();
+  }
+
+  /** Forgets the last answer. */
+  synchronized void expire() {
+    addresses = List.of();
+  }
+
+  private synchronized void clearPending() {
+    pending = null;
+  }
+
+  private CompletableFuture<List<CallerAddress>> ask(int tries) {
+    Endpoint seed = seeds.get(Math.floorMod(nextSeed++, seeds.size()));
+    HttpCall call = HttpCall.get(InstanceClient.uri(seed, "/v1/addresses" + query), TIMEOUT_MILLIS);
+    return http.call("addresses", call)
+        .thenApply(reply -> take(seed, reply))
+        .exceptionallyCompose(
+            failure ->
+                tries + 1 < seeds.size()
+                    ? ask(tries + 1)
+                    : CompletableFuture.failedFuture(failure));
+  }
+
+  private synchronized List<CallerAddress> take(Endpoint seed, HttpReply reply) {
+    try {
+      JsonNode node = Mappers.json().readTree(reply.body());
+      List<CallerAddress> list = new ArrayList<>();
+      for (JsonNode each : node.path("addresses")) {
+        list.add(
+            new CallerAddress(
+                Endpoint.parse(each.path("endpoint").asText()), each.path("prefix").asText()));
+      }
+      if (list.isEmpty()) {
+        throw new StepException("addresses", seed.toString(), "names no instance", null);
+      }
+      addresses = List.copyOf(list);
+      expiryNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(node.path("keepMs").asLong());
+      return addresses;
+    } catch (JsonProcessingException e) {
+      throw new StepException("addresses", seed.toString(), "malformed answer", e);
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CallCommand.java
@@ -0,0 +1,88 @@
+package org.arbutusspar.ctl;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.UUID;
+import org.arbutusspar.io.codec.Mappers;
+import org.arbutusspar.io.http.HttpCaller;
+
+/** Makes one request, as a caller does. */
+@Command(
+    name = "call",
+    description = "Send one question to a pipeline, or one JSON body to a plain service")
+public final class CallCommand extends CtlCommand {
+
+  private static final String ENV_KEY = "ARBUTUSCTL_KEY";
+
+  @Arguments(title = "TEXT", description = "The question, or the JSON body for a service")
+  @Required
+  private String text;
+
+  @Option(name = "--pipeline", title = "NAME", description = "The pipeline")
+  private String pipeline;
+
+  @Option(name = "--service", title = "NAME", description = "The plain service")
+  private String service;
+
+  @Option(
+      name = "--key",
+      title = "KEY",
+      description = "The workspace's key; better set by ARBUTUSCTL_KEY")
+  private String key;
+
+  @Option(name = "--deadline-ms", title = "MS", description = "Time until the answer is due")
+  private long deadlineMillis = 6_000;
+
+  @Option(name = "--max-tokens", title = "N", description = "Longest answer")
+  private int maxTokens = 128;
+
+  @Option(name = "--repeatable", description = "The call of the service may be repeated")
+  private boolean repeatable;
+
+  @Option(name = "--stream", description = "Ask for a stream")
+  private boolean stream;
+
+  @Option(name = "--dc", title = "NAME", description = "Data centre of the caller")
+  private String dataCentre = "";
+
+  /** Creates the command; used by the command line parser. */
+  public CallCommand() {}
+
+  @Override
+  ExitCode execute(Output out) {
+    if ((pipeline == null) == (service == null)) {
+      throw new CtlException(ExitCode.USAGE, "give either --pipeline or --service");
+    }
+    try (HttpCaller http = newHttp()) {
+      AddressCache addresses = AddressCache.create(http, instances(), dataCentre);
+      CallResult result = CallerClient.create(http).call(spec(), addresses).join();
+      result.body().ifPresentOrElse(out::json, () -> out.line(result.outcome()));
+      if (result.streamBroken()) {
+        return ExitCode.WRONG_ANSWER;
+      }
+      return result.isAnswered() ? ExitCode.OK : ExitCode.REFUSED;
+    }
+  }
+
+  private CallSpec spec() {
+    boolean plain = service != null;
+    return new CallSpec(
+        plain ? "/v1/services/" + service : "/v1/pipelines/" + pipeline,
+        "-",
+        setting(key, ENV_KEY, "--key"),
+        UUID.randomUUID().toString(),
+        plain ? text : question(),
+        plain,
+        !plain || repeatable,
+        stream,
+        deadlineMillis);
+  }
+
+  private String question() {
+    ObjectNode node = Mappers.json().createObjectNode();
+    return node.put("question", text).put("maxTokens", maxTokens).toString();
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CallerAddress.java
@@ -0,0 +1,11 @@
+package org.arbutusspar.ctl;
+
+import org.arbutusspar.core.route.Endpoint;
+
+/**
+ * An address that a caller may use.
+ *
+ * @param endpoint the instance
+ * @param prefix first part of the identifiers of requests sent there
+ */
+record CallerAddress(Endpoint endpoint, String prefix) {}
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlCommand.java
@@ -0,0 +1,91 @@
+package org.arbutusspar.ctl;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Option;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.http.HttpCaller;
+
+/** What all commands share: output, help, and where to find the deployment. */
+abstract class CtlCommand {
+
+  private static final int HTTP_THREADS = 8;
+  private static final String ENV_LOG = "ARBUTUSCTL_LOG";
+  private static final String ENV_INSTANCES = "ARBUTUSCTL_INSTANCES";
+  private static final String ENV_OPERATOR_KEY = "ARBUTUSCTL_OPERATOR_KEY";
+
+  @AirlineModule private HelpOption<CtlCommand> help;
+
+  @Option(name = "--json", description = "Print JSON")
+  private boolean json;
+
+  @Option(name = "--log", title = "URL", description = "The platform's log; or set ARBUTUSCTL_LOG")
+  private String log;
+
+  @Option(
+      name = "--instances",
+      title = "IP:PORT,...",
+      description = "Entry instances to ask first; or set ARBUTUSCTL_INSTANCES")
+  private String instances;
+
+  @Option(
+      name = "--operator-key",
+      title = "KEY",
+      description = "The operators' key; better set by ARBUTUSCTL_OPERATOR_KEY")
+  private String operatorKey;
+
+  /** Carries the command out. */
+  abstract ExitCode execute(Output out);
+
+  /** Shows help or carries the command out; returns the exit code. */
+  final ExitCode run() {
+    if (help.showHelpIfRequested()) {
+      return ExitCode.OK;
+    }
+    return execute(Output.create(System.out, json));
+  }
+
+  static HttpCaller newHttp(int threads) {
+    return HttpCaller.start("ctl", "", Math.max(threads, HTTP_THREADS));
+  }
+
+  static HttpCaller newHttp() {
+    return newHttp(HTTP_THREADS);
+  }
+
+  final URI logUrl() {
+    String text = setting(log, ENV_LOG, "--log");
+    try {
+      return URI.create(text);
+    } catch (IllegalArgumentException e) {
+      throw new CtlException(ExitCode.USAGE, "--log: malformed address '" + text + "'");
+    }
+  }
+
+  final List<Endpoint> instances() {
+    List<Endpoint> endpoints = new ArrayList<>();
+    for (String each : setting(instances, ENV_INSTANCES, "--instances").split(",")) {
+      try {
+        endpoints.add(Endpoint.parse(each.trim()));
+      } catch (IllegalArgumentException e) {
+        throw new CtlException(ExitCode.USAGE, "--instances: " + e.getMessage());
+      }
+    }
+    return endpoints;
+  }
+
+  final String operatorKey() {
+    return setting(operatorKey, ENV_OPERATOR_KEY, "--operator-key");
+  }
+
+  static String setting(String flag, String variable, String name) {
+    String value = flag != null ? flag : System.getenv(variable);
+    if (value == null || value.isBlank()) {
+      throw new CtlException(ExitCode.USAGE, name + " or " + variable + " is missing");
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
@@ -0,0 +1,68 @@
+package org.arbutusspar.ctl;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.util.concurrent.CompletionException;
+import org.arbutusspar.io.StepException;
+
+/** The operators' command line. */
+public final class CtlMain {
+
+  private CtlMain() {}
+
+  /**
+   * Runs one command.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    int code = run(args);
+    System.out.flush();
+    System.exit(code);
+  }
+
+  /** Runs one command and returns its exit code. */
+  static int run(String... args) {
+    try {
+      Object command = cli().parse(args);
+      if (command instanceof CtlCommand known) {
+        return known.run().code();
+      }
+      ((Runnable) command).run();
+      return ExitCode.OK.code();
+    } catch (ParseException e) {
+      System.err.println("arbutusctl: " + e.getMessage());
+      return ExitCode.USAGE.code();
+    } catch (CtlException e) {
+      System.err.println("arbutusctl: " + e.getMessage());
+      return e.exitCode().code();
+    } catch (StepException e) {
+      System.err.println("arbutusctl: " + e.getMessage());
+      return ExitCode.UNREACHABLE.code();
+    } catch (CompletionException e) {
+      System.err.println("arbutusctl: " + e.getCause().getMessage());
+      return ExitCode.UNREACHABLE.code();
+    }
+  }
+
+  static Cli<Object> cli() {
+    CliBuilder<Object> builder = Cli.builder("arbutusctl");
+    builder
+        .withDescription("Operates arbutusspar deployments")
+        .withDefaultCommand(Help.class)
+        .withCommands(
+            ValidateCommand.class,
+            ApplyCommand.class,
+            DiffCommand.class,
+            ShowCommand.class,
+            StatusCommand.class,
+            AddressesCommand.class,
+            CallCommand.class,
+            LoadCommand.class,
+            HashKeyCommand.class,
+            Help.class);
+    return builder.build();
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/DiffCommand.java
@@ -0,0 +1,45 @@
+package org.arbutusspar.ctl;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.List;
+import org.arbutusspar.core.config.ObjectEdit;
+import org.arbutusspar.io.config.FolderResult;
+import org.arbutusspar.io.http.HttpCaller;
+import org.arbutusspar.io.platform.HttpPlatformLog;
+
+/** Shows what applying a folder would change. */
+@Command(name = "diff", description = "Show what applying a folder would change")
+public final class DiffCommand extends CtlCommand {
+
+  @Arguments(title = "DIR", description = "The folder")
+  @Required
+  private String folder;
+
+  /** Creates the command; used by the command line parser. */
+  public DiffCommand() {}
+
+  @Override
+  ExitCode execute(Output out) {
+    FolderResult result = ValidateCommand.readValid(folder);
+    try (HttpCaller http = newHttp()) {
+      ConfigPublisher publisher = ConfigPublisher.create(HttpPlatformLog.create(http, logUrl()));
+      List<ObjectEdit> edits = ConfigPublisher.edits(publisher.read(), result.objects());
+      if (out.isJson()) {
+        out.json(edits);
+      } else {
+        edits.forEach(edit -> out.line(sign(edit) + " " + edit.key()));
+        out.line(edits.size() + " objects differ");
+      }
+      return ExitCode.OK;
+    }
+  }
+
+  private static String sign(ObjectEdit edit) {
+    if (edit.object().isEmpty()) {
+      return "-";
+    }
+    return edit.base() == 0 ? "+" : "~";
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/ShowCommand.java
@@ -0,0 +1,36 @@
+package org.arbutusspar.ctl;
+
+import com.github.rvesse.airline.annotations.Command;
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutusspar.core.config.ConfigState;
+import org.arbutusspar.core.config.VersionedObject;
+import org.arbutusspar.io.http.HttpCaller;
+import org.arbutusspar.io.platform.HttpPlatformLog;
+
+/** Shows the configuration on the log. */
+@Command(name = "show", description = "Show the configuration on the log")
+public final class ShowCommand extends CtlCommand {
+
+  /** Creates the command; used by the command line parser. */
+  public ShowCommand() {}
+
+  @Override
+  ExitCode execute(Output out) {
+    try (HttpCaller http = newHttp()) {
+      ConfigState state = ConfigPublisher.create(HttpPlatformLog.create(http, logUrl())).read();
+      if (out.isJson()) {
+        out.json(state);
+        return ExitCode.OK;
+      }
+      List<List<String>> rows = new ArrayList<>();
+      rows.add(List.of("OBJECT", "REVISION"));
+      for (VersionedObject each : state.objects()) {
+        rows.add(List.of(each.object().key().toString(), Long.toString(each.revision())));
+      }
+      out.table(rows);
+      out.line("revision " + state.revision());
+      return ExitCode.OK;
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/ConfigSync.java
@@ -0,0 +1,182 @@
+package org.arbutusspar.entry;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.core.config.ChangeResult;
+import org.arbutusspar.core.config.ConfigFold;
+import org.arbutusspar.core.config.ConfigState;
+import org.arbutusspar.core.config.LogRecord;
+import org.arbutusspar.core.config.SnapshotSchedule;
+import org.arbutusspar.core.flow.Event;
+import org.arbutusspar.io.KeyValueLine;
+import org.arbutusspar.io.codec.LogRecordCodec;
+import org.arbutusspar.io.platform.LogPage;
+import org.arbutusspar.io.platform.PlatformLog;
+
+/**
+ * Follows the configuration on the platform's log, and writes snapshots to it. While the log cannot
+ * be read, the configuration comes from fellow instances. State belongs to the decision thread.
+ */
+final class ConfigSync {
+
+  private static final Logger LOG = LogManager.getLogger(ConfigSync.class);
+  private static final long READ_WAIT_MILLIS = 1_000;
+  private static final long RETRY_MILLIS = 300;
+  private static final long CUT_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+  private final PlatformLog log;
+  private final DecisionLoop loop;
+  private final DecisionRuntime runtime;
+  private final ScheduledExecutorService timer;
+  private final ConfigFold fold = ConfigFold.create();
+  private final SnapshotSchedule schedule;
+  private long contactNanos;
+  private boolean contacted;
+  private boolean caughtUp;
+  private String emptyGap = "";
+  private volatile long revision;
+
+  private ConfigSync(
+      PlatformLog log, DecisionLoop loop, DecisionRuntime runtime, ScheduledExecutorService timer) {
+    this.log = log;
+    this.loop = loop;
+    this.runtime = runtime;
+    this.timer = timer;
+    this.schedule = SnapshotSchedule.create(System.nanoTime());
+  }
+
+  static ConfigSync create(
+      PlatformLog log, DecisionLoop loop, DecisionRuntime runtime, ScheduledExecutorService timer) {
+    return new ConfigSync(
+        Objects.requireNonNull(log, "log"),
+        Objects.requireNonNull(loop, "loop"),
+        Objects.requireNonNull(runtime, "runtime"),
+        Objects.requireNonNull(timer, "timer"));
+  }
+
+  /** Starts to follow the log. */
+  void start() {
+    loop.post(this::readOn);
+  }
+
+  long revision() {
+    return revision;
+  }
+
+  ConfigState state() {
+    return fold.state();
+  }
+
+  /** Returns whether the log has not been read lately, or cannot be folded. */
+  boolean isCutOff() {
+    boolean silent = !contacted || System.nanoTime() - contactNanos > CUT_OFF_NANOS;
+    return silent || !obstacle().isEmpty();
+  }
+
+  /** Returns why the configuration may be behind, or an empty text. */
+  String obstacle() {
+    return fold.obstacle().isEmpty() ? emptyGap : fold.obstacle();
+  }
+
+  /** Returns why there is no configuration to serve with, or an empty text. */
+  String notReadyReason() {
+    if (revision > 0 || caughtUp) {
+      return "";
+    }
+    return obstacle().isEmpty() ? "configuration was not read yet" : obstacle();
+  }
+
+  /** Returns the configuration if it is newer than a fellow's. */
+  Optional<ConfigState> newerThan(long other) {
+    return fold.state().revision() > other ? Optional.of(fold.state()) : Optional.empty();
+  }
+
+  /** Takes over the configuration of a fellow, if it is newer. */
+  void adopt(ConfigState state) {
+    if (fold.adopt(state)) {
+      emptyGap = "";
+      LOG.info(KeyValueLine.event("config-adopted").with("revision", state.revision()));
+      publish();
+    }
+  }
+
+  private void readOn() {
+    log.read(fold.nextOffset(), READ_WAIT_MILLIS)
+        .whenComplete(
+            (page, failure) ->
+                loop.post(
+                    () -> {
+                      if (failure == null) {
+                        onPage(page);
+                      } else {
+                        LOG.warn(
+                            KeyValueLine.event("log-read-failed")
+                                .with("error", failure.getMessage()));
+                        readLater();
+                      }
+                    }));
+  }
+
+  private void readLater() {
+    timer.schedule(() -> loop.post(this::readOn), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void onPage(LogPage page) {
+    contacted = true;
+    contactNanos = System.nanoTime();
+    long before = fold.state().revision();
+    for (LogPage.Entry entry : page.records()) {
+      LogRecord record = LogRecordCodec.decode(entry.data());
+      if (record instanceof LogRecord.Snapshot) {
+        schedule.onSeen(entry.offset(), System.nanoTime());
+      }
+      fold.offer(entry.offset(), record).ifPresent(ConfigSync::logResult);
+    }
+    boolean gap = page.records().isEmpty() && page.first() > fold.nextOffset();
+    emptyGap = gap ? "the log no longer holds record " + fold.nextOffset() : "";
+    if (fold.state().revision() != before) {
+      publish();
+    }
+    caughtUp |= obstacle().isEmpty() && fold.nextOffset() >= page.next();
+    if (obstacle().isEmpty()) {
+      readOn();
+    } else {
+      readLater();
+    }
+  }
+
+  private static void logResult(ChangeResult result) {
+    LOG.info(
+        KeyValueLine.event("config-change")
+            .with("change", result.id())
+            .with("revision", result.offset())
+            .with("accepted", result.accepted())
+            .with("reason", result.reason()));
+  }
+
+  private void publish() {
+    revision = fold.state().revision();
+    runtime.handle(new Event.Configured(fold.state()));
+  }
+
+  /** Writes a snapshot if it is this instance's turn; on the decision thread. */
+  void onTick(int rank, long now) {
+    boolean safe = !isCutOff() && caughtUp;
+    if (safe && schedule.tryTake(fold.state().revision(), rank, now)) {
+      ConfigState state = fold.state();
+      LOG.info(KeyValueLine.event("snapshot").with("revision", state.revision()));
+      log.append(LogRecordCodec.encode(new LogRecord.Snapshot(state)))
+          .whenComplete(
+              (offset, failure) -> {
+                if (failure != null) {
+                  LOG.warn(
+                      KeyValueLine.event("snapshot-failed").with("error", failure.getMessage()));
+                }
+              });
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/DecisionLoop.java
@@ -0,0 +1,121 @@
+package org.arbutusspar.entry;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.io.KeyValueLine;
+
+/**
+ * The one thread on which an instance decides. Tasks run in order; a tick runs at a fixed interval.
+ */
+final class DecisionLoop implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(DecisionLoop.class);
+  private static final int MAX_TASKS = 65_536;
+  private static final int BATCH = 256;
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final long STOP_MILLIS = 2_000;
+
+  private final BlockingQueue<Runnable> tasks = new ArrayBlockingQueue<>(MAX_TASKS);
+  private final Deque<Runnable> own = new ArrayDeque<>();
+  private final Runnable tick;
+  private final Thread thread = new Thread(this::run, "decisions");
+  private volatile boolean stopped;
+  private volatile long failures;
+
+  private DecisionLoop(Runnable tick) {
+    this.tick = tick;
+  }
+
+  /**
+   * Starts a loop.
+   *
+   * @param tick run at a fixed interval, not null
+   * @return the loop
+   */
+  static DecisionLoop start(Runnable tick) {
+    DecisionLoop loop = new DecisionLoop(tick);
+    loop.thread.setDaemon(true);
+    loop.thread.start();
+    return loop;
+  }
+
+  /** Runs a task unless the queue is full; returns whether it will run. */
+  boolean offer(Runnable task) {
+    return tasks.offer(task);
+  }
+
+  /** Runs a task, waiting for room in the queue. A task of the loop itself never waits. */
+  void post(Runnable task) {
+    if (Thread.currentThread() == thread) {
+      own.addLast(task);
+      return;
+    }
+    try {
+      tasks.put(task);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns the number of tasks that failed; any is a fault of the program. */
+  long failures() {
+    return failures;
+  }
+
+  private void run() {
+    List<Runnable> batch = new ArrayList<>(BATCH);
+    long nextTick = System.nanoTime();
+    while (!stopped) {
+      try {
+        long wait = nextTick - System.nanoTime();
+        Runnable first = tasks.poll(Math.max(0, wait), TimeUnit.NANOSECONDS);
+        if (first != null) {
+          batch.add(first);
+          tasks.drainTo(batch, BATCH - 1);
+        }
+        batch.forEach(this::runGuarded);
+        batch.clear();
+        if (System.nanoTime() - nextTick >= 0) {
+          runGuarded(tick);
+          nextTick = System.nanoTime() + TICK_NANOS;
+        }
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  private void runGuarded(Runnable task) {
+    runOne(task);
+    while (!own.isEmpty()) {
+      runOne(own.removeFirst());
+    }
+  }
+
+  private void runOne(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      failures++;
+      LOG.error(KeyValueLine.event("task-failed").with("error", e), e);
+    }
+  }
+
+  @Override
+  public void close() {
+    stopped = true;
+    thread.interrupt();
+    try {
+      thread.join(STOP_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryDaemon.java
@@ -0,0 +1,247 @@
+package org.arbutusspar.entry;
+
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.core.flow.Coordinator;
+import org.arbutusspar.core.flow.CoordinatorOptions;
+import org.arbutusspar.core.flow.CoordinatorStatus;
+import org.arbutusspar.core.flow.Event;
+import org.arbutusspar.core.flow.Policy;
+import org.arbutusspar.core.id.Home;
+import org.arbutusspar.core.id.PrefixSigner;
+import org.arbutusspar.core.member.AddressBook;
+import org.arbutusspar.core.member.MemberRecord;
+import org.arbutusspar.core.member.MemberStatus;
+import org.arbutusspar.core.member.Membership;
+import org.arbutusspar.io.KeyValueLine;
+import org.arbutusspar.io.http.Exchange;
+import org.arbutusspar.io.http.HttpCaller;
+import org.arbutusspar.io.http.HttpHost;
+import org.arbutusspar.io.platform.HttpPlatformList;
+import org.arbutusspar.io.platform.HttpPlatformLog;
+import org.arbutusspar.io.upstream.UpstreamClient;
+
+/** One entry instance: wires the core to its adapters, and shuts down gracefully. */
+public final class EntryDaemon implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(EntryDaemon.class);
+  private static final int SERVER_THREADS = 24;
+  private static final int UPSTREAM_THREADS = 16;
+  private static final int PLATFORM_THREADS = 4;
+  private static final int NOT_FOUND = 404;
+  private static final long STATE_MILLIS = 5_000;
+  private static final long POLL_MILLIS = 20;
+  private static final long MAX_DRAIN_MILLIS = 180_000;
+  private static final long FLUSH_MILLIS = 200;
+
+  private final DaemonSettings settings;
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final EntryMetrics metrics = EntryMetrics.create();
+  private final HttpCaller platform;
+  private final UpstreamClient upstream;
+  private final DecisionRuntime runtime;
+  private final DecisionLoop loop;
+  private final ConfigSync config;
+  private final FellowLinks fellows;
+  private final ListWatch list;
+  private final CallerApi callerApi;
+  private final OperatorApi operatorApi;
+  private HttpHost host;
+  private volatile boolean started;
+
+  private EntryDaemon(DaemonSettings settings) {
+    this.settings = settings;
+    long seed = new SecureRandom().nextLong();
+    Home home = new Home(settings.instance(), seed);
+    long startMillis = System.currentTimeMillis();
+    runtime =
+        DecisionRuntime.create(
+            Coordinator.create(
+                new CoordinatorOptions(
+                    home,
+                    settings.dataCentre(),
+                    Policy.standard(),
+                    seed,
+                    System.nanoTime(),
+                    startMillis)),
+            metrics);
+    loop = DecisionLoop.start(this::onTick);
+    String host = settings.callers().host();
+    platform = HttpCaller.start("platform", host, PLATFORM_THREADS);
+    upstream =
+        UpstreamClient.create(
+            HttpCaller.start("upstream", host, UPSTREAM_THREADS),
+            event -> loop.post(() -> runtime.handle(event)));
+    config =
+        ConfigSync.create(
+            HttpPlatformLog.create(platform, settings.logUrl()), loop, runtime, timer);
+    MemberRecord self =
+        new MemberRecord(
+            home,
+            startMillis,
+            settings.callers(),
+            settings.links(),
+            settings.dataCentre(),
+            MemberStatus.LIVE,
+            1);
+    AddressBook addresses = AddressBook.create(seed);
+    fellows = FellowLinks.create(Membership.create(self), addresses, runtime, loop, config);
+    list =
+        ListWatch.create(
+            HttpPlatformList.create(platform, settings.listUrl()), loop, runtime, fellows, timer);
+    PrefixSigner signer = PrefixSigner.create(settings.secret().bytes());
+    callerApi = CallerApi.create(runtime, loop, fellows, addresses, signer);
+    operatorApi =
+        OperatorApi.create(
+            settings.operatorKeySha256(),
+            runtime,
+            loop,
+            fellows,
+            config,
+            metrics,
+            this::notReadyReason);
+  }
+
+  /**
+   * Starts an instance.
+   *
+   * @param settings its settings, not null
+   * @return the instance, to be closed by whoever asked for it
+   */
+  public static EntryDaemon start(DaemonSettings settings) {
+    EntryDaemon daemon = new EntryDaemon(Objects.requireNonNull(settings, "settings"));
+    try {
+      daemon.open();
+      return daemon;
+    } catch (RuntimeException e) {
+      daemon.close();
+      throw e;
+    }
+  }
+
+  private void open() {
+    runtime.connect(upstream, fellows);
+    fellows.start(settings.secret());
+    started = true;
+    config.start();
+    list.start();
+    registerGauges();
+    host = HttpHost.start("callers", List.of(settings.callers()), SERVER_THREADS, this::handle);
+    LOG.info(
+        KeyValueLine.event("started")
+            .with("instance", settings.instance())
+            .with("dataCentre", settings.dataCentre())
+            .with("callers", settings.callers())
+            .with("links", settings.links()));
+  }
+
+  private void registerGauges() {
+    metrics.gauge("arbutusspar_revision", "Configuration revision", config::revision);
+    metrics.gauge("arbutusspar_task_failures", "Failed tasks", loop::failures);
+    metrics.gauge("arbutusspar_active_requests", "Requests in progress", () -> status().active());
+    metrics.gauge("arbutusspar_queued_requests", "Requests that wait", () -> status().queued());
+  }
+
+  private CoordinatorStatus status() {
+    return onLoop(() -> runtime.coordinator().status());
+  }
+
+  private void handle(Exchange exchange) {
+    if (!callerApi.handle(exchange) && !operatorApi.handle(exchange)) {
+      exchange.reply(NOT_FOUND, Map.of(), "{\"error\":\"no such path\"}");
+    }
+  }
+
+  private void onTick() {
+    if (!started) {
+      return;
+    }
+    long now = System.nanoTime();
+    runtime.handle(new Event.Tick());
+    fellows.onTick(now);
+    config.onTick(rank(), now);
+  }
+
+  /** Returns the position of this instance among the live ones, in name order. */
+  private int rank() {
+    return (int)
+        fellows.membership().serving().stream()
+            .filter(m -> m.status() == MemberStatus.LIVE)
+            .filter(m -> m.instance().compareTo(settings.instance()) < 0)
+            .count();
+  }
+
+  private String notReadyReason() {
+    String reason = config.notReadyReason();
+    return reason.isEmpty() && !list.isRead() ? "the list was not read yet" : reason;
+  }
+
+  /**
+   * Shuts down without cutting a request: the instance is no longer named to callers, serves on
+   * while callers may keep its address, then finishes what it has.
+   */
+  public void drain() {
+    LOG.info(KeyValueLine.event("leaving").with("instance", settings.instance()));
+    loop.post(fellows::leave);
+    sleep(settings.leaveMillis());
+    loop.post(() -> runtime.handle(new Event.Drain()));
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_DRAIN_MILLIS);
+    while (System.nanoTime() < end && isBusy()) {
+      sleep(POLL_MILLIS);
+    }
+    loop.post(fellows::stop);
+    sleep(FLUSH_MILLIS);
+    LOG.info(KeyValueLine.event("stopped").with("instance", settings.instance()));
+  }
+
+  private boolean isBusy() {
+    return onLoop(
+        () -> runtime.coordinator().status().active() > 0 || runtime.waitingCallers() > 0);
+  }
+
+  private <T> T onLoop(Supplier<T> task) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    loop.post(() -> result.complete(task.get()));
+    try {
+      return result.get(STATE_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("decision thread does not answer", e);
+    }
+  }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    if (host != null) {
+      host.close();
+    }
+    loop.close();
+    if (started) {
+      fellows.close();
+    }
+    upstream.close();
+    platform.close();
+    timer.shutdownNow();
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryMetrics.java
@@ -0,0 +1,79 @@
+package org.arbutusspar.entry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.function.DoubleSupplier;
+import org.arbutusspar.core.flow.Decision;
+import org.arbutusspar.core.request.Outcome;
+
+/** Metrics of an instance, in a registry of its own. */
+final class EntryMetrics {
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter outcomes =
+      counter("arbutusspar_outcomes", "Final answers to callers", "outcome", "reason");
+  private final Counter calls =
+      counter("arbutusspar_stage_calls", "Attempts sent to replicas", "service");
+  private final Counter seconds =
+      counter("arbutusspar_stage_seconds", "Time of attempts at replicas", "service");
+  private final Counter price =
+      counter("arbutusspar_stage_price", "Price of attempts at replicas", "service");
+  private final Counter decisions = counter("arbutusspar_decisions", "Decisions by kind", "kind");
+
+  private EntryMetrics() {}
+
+  static EntryMetrics create() {
+    return new EntryMetrics();
+  }
+
+  private Counter counter(String name, String help, String... labels) {
+    return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+  }
+
+  /** Registers a gauge that is read when metrics are fetched. */
+  void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  void onSend(String service) {
+    calls.labelValues(service).inc();
+  }
+
+  void onDecision(Decision decision) {
+    decisions.labelValues(decision.kind().name().toLowerCase(Locale.ROOT)).inc();
+  }
+
+  void onOutcome(Outcome outcome) {
+    if (outcome instanceof Outcome.Refused refused) {
+      String verdict = refused.verdict().name().toLowerCase(Locale.ROOT);
+      outcomes.labelValues(verdict, refused.reason().label()).inc();
+    } else {
+      outcomes.labelValues("answered", "").inc();
+    }
+    for (Outcome.StageCost cost : outcome.costs()) {
+      seconds.labelValues(cost.service()).inc(cost.millis() / 1_000);
+      price.labelValues(cost.service()).inc(cost.price());
+    }
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  String text() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException("metrics cannot be written", e);
+    }
+    return out.toString(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/FellowLinks.java
@@ -0,0 +1,365 @@
+package org.arbutusspar.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.core.flow.Action;
+import org.arbutusspar.core.flow.CallerId;
+import org.arbutusspar.core.flow.Event;
+import org.arbutusspar.core.id.Home;
+import org.arbutusspar.core.id.RequestKey;
+import org.arbutusspar.core.member.AddressBook;
+import org.arbutusspar.core.member.MemberRecord;
+import org.arbutusspar.core.member.MemberStatus;
+import org.arbutusspar.core.member.Membership;
+import org.arbutusspar.core.request.Outcome;
+import org.arbutusspar.core.request.Request;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.KeyValueLine;
+import org.arbutusspar.io.link.Link;
+import org.arbutusspar.io.link.LinkHandler;
+import org.arbutusspar.io.link.LinkMessage;
+import org.arbutusspar.io.link.LinkSecret;
+import org.arbutusspar.io.link.Links;
+
+/**
+ * What an instance does with its fellows: membership, heartbeats, and calls to the homes of
+ * identifiers. All state belongs to the decision thread; link threads only post to it.
+ */
+final class FellowLinks implements LinkHandler, DecisionRuntime.Forwarder, AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(FellowLinks.class);
+  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long EXTRA_LINK_NANOS = TimeUnit.SECONDS.toNanos(30);
+  private static final int MAX_CALLS = 20_000;
+
+  private final Membership membership;
+  private final AddressBook addresses;
+  private final DecisionRuntime runtime;
+  private final DecisionLoop loop;
+  private final ConfigSync config;
+  private final Map<Long, HomeCall> calls = new HashMap<>();
+  private final Map<Endpoint, Long> extraLinks = new HashMap<>();
+  private final Map<Home, Long> revisions = new HashMap<>();
+  private Links links;
+  private long nextCall;
+  private long heartbeatNanos;
+  private Set<Home> told = Set.of();
+  private volatile MemberRecord self;
+
+  private FellowLinks(
+      Membership membership,
+      AddressBook addresses,
+      DecisionRuntime runtime,
+      DecisionLoop loop,
+      ConfigSync config) {
+    this.membership = membership;
+    this.addresses = addresses;
+    this.runtime = runtime;
+    this.loop = loop;
+    this.config = config;
+    this.self = membership.self();
+  }
+
+  static FellowLinks create(
+      Membership membership,
+      AddressBook addresses,
+      DecisionRuntime runtime,
+      DecisionLoop loop,
+      ConfigSync config) {
+    return new FellowLinks(
+        Objects.requireNonNull(membership, "membership"),
+        Objects.requireNonNull(addresses, "addresses"),
+        Objects.requireNonNull(runtime, "runtime"),
+        Objects.requireNonNull(loop, "loop"),
+        Objects.requireNonNull(config, "config"));
+  }
+
+  /** Starts to accept and open links. */
+  void start(LinkSecret secret) {
+    links = Links.start(self.links(), secret, this);
+  }
+
+  Membership membership() {
+    return membership;
+  }
+
+  /** Returns the revision that a fellow last stated, or -1. */
+  long revisionOf(Home home) {
+    return revisions.getOrDefault(home, -1L);
+  }
+
+  /** Returns the number of links that this instance opened and that are up. */
+  int linkCount() {
+    return links.opened().size();
+  }
+
+  /** Sends heartbeats and reviews membership; on the decision thread. */
+  void onTick(long now) {
+    membership.onTick(now);
+    extraLinks.values().removeIf(until -> now >= until);
+    dropExpiredCalls(now);
+    refresh();
+    if (now - heartbeatNanos >= HEARTBEAT_NANOS) {
+      heartbeatNanos = now;
+      sendHeartbeats();
+    }
+  }
+
+  private void sendHeartbeats() {
+    for (Link link : links.opened()) {
+      link.send(heartbeat(link.peer().home(), false));
+    }
+  }
+
+  private LinkMessage.Heartbeat heartbeat(Home peer, boolean reply) {
+    return new LinkMessage.Heartbeat(
+        config.revision(),
+        runtime.coordinator().status().active(),
+        reply,
+        membership.gossipFor(peer));
+  }
+
+  /** Takes over changes of membership. */
+  private void refresh() {
+    self = membership.self();
+    Set<Endpoint> wanted = new HashSet<>(membership.wanted());
+    wanted.addAll(extraLinks.keySet());
+    links.want(wanted);
+    Set<Home> reachable =
+        membership.serving().stream()
+            .filter(m -> m.status() != MemberStatus.SUSPECT)
+            .map(MemberRecord::home)
+            .filter(home -> !home.equals(self.home()))
+            .collect(Collectors.toSet());
+    if (!reachable.equals(told)) {
+      told = reachable;
+      revisions.keySet().retainAll(reachable);
+      runtime.handle(new Event.FellowsChanged(reachable, reachable.size() + 1));
+      failCallsToGone();
+      LOG.info(KeyValueLine.event("members").with("live", reachable.size() + 1));
+    }
+  }
+
+  /** Tells the fellows that this instance is leaving. */
+  void leave() {
+    membership.leave();
+    refresh();
+    sendHeartbeats();
+  }
+
+  /** Tells the fellows that this instance has stopped. */
+  void stop() {
+    membership.stop();
+    sendHeartbeats();
+  }
+
+  @Override
+  public MemberRecord self() {
+    return self;
+  }
+
+  @Override
+  public void onUp(Link link) {
+    loop.post(
+        () -> {
+          LOG.info(KeyValueLine.event("link-up").with("peer", link.peer().home()));
+          membership.onLinkUp(link.peer(), System.nanoTime());
+          link.send(heartbeat(link.peer().home(), false));
+          resumeCalls(link);
+        });
+  }
+
+  @Override
+  public void onDown(Link link) {
+    loop.post(() -> LOG.info(KeyValueLine.event("link-down").with("peer", link.peer().home())));
+  }
+
+  @Override
+  public void onFailed(Endpoint endpoint, String reason) {
+    loop.post(
+        () -> {
+          LOG.info(KeyValueLine.event("link-failed").with("peer", endpoint).with("reason", reason));
+          membership.onLinkFailed(endpoint, System.nanoTime());
+        });
+  }
+
+  @Override
+  public void onMessage(Link link, LinkMessage message) {
+    loop.post(() -> receive(link, message));
+  }
+
+  private void receive(Link link, LinkMessage message) {
+    if (message instanceof LinkMessage.Heartbeat heartbeat) {
+      onHeartbeat(link, heartbeat);
+    } else if (message instanceof LinkMessage.Submit submit) {
+      Request request = withDeadline(submit.request(), submit.remainingMillis());
+      CallerId caller = runtime.register(new LinkReplyTarget(link, submit.call()));
+      runtime.handle(new Event.Arrive(request, caller, false));
+    } else if (message instanceof LinkMessage.Ask ask) {
+      CallerId caller = runtime.register(new LinkReplyTarget(link, ask.call()));
+      runtime.handle(new Event.Ask(ask.key(), caller, deadline(ask.remainingMillis())));
+    } else if (message instanceof LinkMessage.Result result) {
+      HomeCall call = calls.remove(result.call());
+      if (call != null) {
+        runtime.handle(new Event.ForwardReplied(call.caller(), result.outcome()));
+      }
+    } else if (message instanceof LinkMessage.ConfigPull pull) {
+      link.send(new LinkMessage.ConfigPush(config.newerThan(pull.revision())));
+    } else if (message instanceof LinkMessage.ConfigPush push) {
+      push.state().ifPresent(config::adopt);
+    }
+  }
+
+  private void onHeartbeat(Link link, LinkMessage.Heartbeat heartbeat) {
+    Home peer = link.peer().home();
+    membership.onGossip(heartbeat.members(), System.nanoTime());
+    addresses.onLoad(peer, heartbeat.active());
+    revisions.put(peer, heartbeat.revision());
+    if (!heartbeat.reply()) {
+      link.send(heartbeat(peer, true));
+    }
+    if (heartbeat.revision() > config.revision() && config.isCutOff()) {
+      link.send(new LinkMessage.ConfigPull(config.revision()));
+    }
+  }
+
+  private static long deadline(long remainingMillis) {
+    return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
+  }
+
+  private static Request withDeadline(Request request, long remainingMillis) {
+    return new Request(
+        request.key(),
+        request.target(),
+        request.data(),
+        request.repeatable(),
+        request.keepAnswer(),
+        deadline(remainingMillis),
+        request.fingerprint());
+  }
+
+  @Override
+  public void submit(Action.ForwardRequest forward) {
+    Request request = forward.request();
+    call(
+        new HomeCall(forward.home(), request.key(), forward.caller(), request.deadlineNanos()),
+        request);
+  }
+
+  @Override
+  public void ask(Action.ForwardAsk ask) {
+    call(new HomeCall(ask.home(), ask.key(), ask.caller(), deadline(ask.remainingMillis())), null);
+  }
+
+  private void call(HomeCall call, Request request) {
+    if (calls.size() >= MAX_CALLS) {
+      runtime.handle(new Event.ForwardLost(call.caller()));
+      return;
+    }
+    long number = nextCall++;
+    calls.put(number, call);
+    call.request = request;
+    links
+        .find(call.home())
+        .ifPresentOrElse(link -> send(link, number, call), () -> openExtraLink(call.home()));
+  }
+
+  private void openExtraLink(Home home) {
+    membership.serving().stream()
+        .filter(m -> m.home().equals(home))
+        .findFirst()
+        .ifPresent(m -> extraLinks.put(m.links(), System.nanoTime() + EXTRA_LINK_NANOS));
+    refresh();
+  }
+
+  /**
+   * Sends a call on a link. A request is submitted once; after a link was lost, only its outcome is
+   * asked for, and the home's answer is final either way.
+   */
+  private static void send(Link link, long number, HomeCall call) {
+    long remaining = TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - System.nanoTime());
+    if (call.request == null) {
+      link.send(new LinkMessage.Ask(number, call.key(), remaining));
+    } else {
+      link.send(new LinkMessage.Submit(number, call.request, remaining));
+      call.request = null;
+    }
+  }
+
+  private void resumeCalls(Link link) {
+    calls.forEach(
+        (number, call) -> {
+          if (call.home().equals(link.peer().home())) {
+            send(link, number, call);
+          }
+        });
+  }
+
+  private void failCallsToGone() {
+    List<Long> gone =
+        calls.entrySet().stream()
+            .filter(e -> !told.contains(e.getValue().home()))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (Long number : gone) {
+      runtime.handle(new Event.ForwardLost(calls.remove(number).caller()));
+    }
+  }
+
+  private void dropExpiredCalls(long now) {
+    calls.values().removeIf(call -> now - call.deadlineNanos() > HEARTBEAT_NANOS);
+  }
+
+  @Override
+  public void close() {
+    links.close();
+  }
+
+  /** A call to the home of an identifier that has not been answered. */
+  private static final class HomeCall {
+    private final Home home;
+    private final RequestKey key;
+    private final CallerId caller;
+    private final long deadlineNanos;
+    private Request request;
+
+    private HomeCall(Home home, RequestKey key, CallerId caller, long deadlineNanos) {
+      this.home = home;
+      this.key = key;
+      this.caller = caller;
+      this.deadlineNanos = deadlineNanos;
+    }
+
+    private Home home() {
+      return home;
+    }
+
+    private RequestKey key() {
+      return key;
+    }
+
+    private CallerId caller() {
+      return caller;
+    }
+
+    private long deadlineNanos() {
+      return deadlineNanos;
+    }
+  }
+
+  /** A fellow that waits for an outcome on a link. */
+  private record LinkReplyTarget(Link link, long call) implements ReplyTarget {
+    @Override
+    public void reply(RequestKey key, Outcome outcome) {
+      link.send(new LinkMessage.Result(call, outcome));
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/ListWatch.java
@@ -0,0 +1,91 @@
+package org.arbutusspar.entry;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.core.flow.Event;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.KeyValueLine;
+import org.arbutusspar.io.platform.Listing;
+import org.arbutusspar.io.platform.PlatformList;
+
+/** Follows the platform's list. State belongs to the decision thread. */
+final class ListWatch {
+
+  private static final Logger LOG = LogManager.getLogger(ListWatch.class);
+  private static final long INTERVAL_MILLIS = 1_000;
+
+  private final PlatformList list;
+  private final DecisionLoop loop;
+  private final DecisionRuntime runtime;
+  private final FellowLinks fellows;
+  private final ScheduledExecutorService timer;
+  private Listing known = Listing.EMPTY;
+  private volatile boolean read;
+
+  private ListWatch(
+      PlatformList list,
+      DecisionLoop loop,
+      DecisionRuntime runtime,
+      FellowLinks fellows,
+      ScheduledExecutorService timer) {
+    this.list = list;
+    this.loop = loop;
+    this.runtime = runtime;
+    this.fellows = fellows;
+    this.timer = timer;
+  }
+
+  static ListWatch create(
+      PlatformList list,
+      DecisionLoop loop,
+      DecisionRuntime runtime,
+      FellowLinks fellows,
+      ScheduledExecutorService timer) {
+    return new ListWatch(
+        Objects.requireNonNull(list, "list"),
+        Objects.requireNonNull(loop, "loop"),
+        Objects.requireNonNull(runtime, "runtime"),
+        Objects.requireNonNull(fellows, "fellows"),
+        Objects.requireNonNull(timer, "timer"));
+  }
+
+  /** Starts to follow the list. */
+  void start() {
+    list.read()
+        .whenComplete(
+            (listing, failure) -> {
+              if (failure == null) {
+                loop.post(() -> onListing(listing));
+              } else {
+                LOG.warn(
+                    KeyValueLine.event("list-read-failed").with("error", failure.getMessage()));
+              }
+              timer.schedule(this::start, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            });
+  }
+
+  /** Returns whether the list has been read since the start. */
+  boolean isRead() {
+    return read;
+  }
+
+  private void onListing(Listing listing) {
+    read = true;
+    boolean emptied = listing.replicas().isEmpty() && !known.replicas().isEmpty();
+    if (listing.equals(known) || emptied) {
+      return;
+    }
+    known = listing;
+    List<Endpoint> seeds = listing.instances().stream().map(Listing.ListedInstance::links).toList();
+    fellows.membership().onListed(seeds);
+    runtime.handle(new Event.Listed(listing.replicas()));
+    LOG.info(
+        KeyValueLine.event("listed")
+            .with("instances", listing.instances().size())
+            .with("replicas", listing.replicas().size()));
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/OperatorApi.java
@@ -0,0 +1,230 @@
+package org.arbutusspar.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Base64;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.arbutusspar.core.member.MemberRecord;
+import org.arbutusspar.core.route.Pool;
+import org.arbutusspar.core.route.Replica;
+import org.arbutusspar.io.codec.Mappers;
+import org.arbutusspar.io.codec.Sha256;
+import org.arbutusspar.io.http.Exchange;
+
+/** What operators and monitoring can ask of an instance over HTTP. */
+final class OperatorApi {
+
+  private static final int OK = 200;
+  private static final int UNAUTHORIZED = 401;
+  private static final int UNAVAILABLE = 503;
+
+  private final String keySha256;
+  private final DecisionRuntime runtime;
+  private final DecisionLoop loop;
+  private final FellowLinks fellows;
+  private final ConfigSync config;
+  private final EntryMetrics metrics;
+  private final Readiness readiness;
+
+  private OperatorApi(
+      String keySha256,
+      DecisionRuntime runtime,
+      DecisionLoop loop,
+      FellowLinks fellows,
+      ConfigSync config,
+      EntryMetrics metrics,
+      Readiness readiness) {
+    this.keySha256 = keySha256;
+    this.runtime = runtime;
+    this.loop = loop;
+    this.fellows = fellows;
+    this.config = config;
+    this.metrics = metrics;
+    this.readiness = readiness;
+  }
+
+  static OperatorApi create(
+      String keySha256,
+      DecisionRuntime runtime,
+      DecisionLoop loop,
+      FellowLinks fellows,
+      ConfigSync config,
+      EntryMetrics metrics,
+      Readiness readiness) {
+    return new OperatorApi(
+        Objects.requireNonNull(keySha256, "keySha256"),
+        Objects.requireNonNull(runtime, "runtime"),
+        Objects.requireNonNull(loop, "loop"),
+        Objects.requireNonNull(fellows, "fellows"),
+        Objects.requireNonNull(config, "config"),
+        Objects.requireNonNull(metrics, "metrics"),
+        Objects.requireNonNull(readiness, "readiness"));
+  }
+
+  /** Tells why an instance cannot serve. */
+  interface Readiness {
+
+    /** Returns why the instance is not ready, or an empty text; on the decision thread. */
+    String notReadyReason();
+  }
+
+  /**
+   * Answers an exchange if it is an operator's or a monitor's.
+   *
+   * @return false if its path belongs to nobody
+   */
+  boolean handle(Exchange exchange) {
+    if (!exchange.method().equals("GET")) {
+      return false;
+    }
+    switch (exchange.path()) {
+      case "/healthz" -> exchange.reply(OK, Map.of(), "{\"status\":\"up\"}");
+      case "/readyz" -> loop.post(() -> answerReady(exchange));
+      case "/metrics" -> exchange.reply(OK, "text/plain; version=0.0.4", Map.of(), metrics.text());
+      case "/ops/v1/status" -> guarded(exchange, () -> answerStatus(exchange));
+      case "/ops/v1/config" -> guarded(exchange, () -> answerConfig(exchange));
+      case "/" -> guarded(exchange, () -> answerPage(exchange));
+      default -> {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void guarded(Exchange exchange, Runnable task) {
+    if (isOperator(exchange)) {
+      loop.post(task);
+    } else {
+      exchange.reply(
+          UNAUTHORIZED,
+          Map.of("WWW-Authenticate", "Basic realm=\"arbutusspar\""),
+          "{\"error\":\"operators' key is missing or wrong\"}");
+    }
+  }
+
+  private boolean isOperator(Exchange exchange) {
+    return exchange
+        .header("Authorization")
+        .flatMap(OperatorApi::presentedKey)
+        .map(Sha256::hex)
+        .filter(hash -> MessageDigest.isEqual(bytes(hash), bytes(keySha256)))
+        .isPresent();
+  }
+
+  /** Returns the key in a bearer field, or the password in a basic one. */
+  private static Optional<String> presentedKey(String authorization) {
+    String bearer = "Bearer ";
+    String basic = "Basic ";
+    if (authorization.startsWith(bearer)) {
+      return Optional.of(authorization.substring(bearer.length()));
+    }
+    if (!authorization.startsWith(basic)) {
+      return Optional.empty();
+    }
+    try {
+      byte[] decoded = Base64.getDecoder().decode(authorization.substring(basic.length()));
+      String pair = new String(decoded, StandardCharsets.UTF_8);
+      return Optional.of(pair.substring(pair.indexOf(':') + 1));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private void answerReady(Exchange exchange) {
+    String reason = readiness.notReadyReason();
+    ObjectNode node = Mappers.json().createObjectNode();
+    node.put("ready", reason.isEmpty());
+    if (!reason.isEmpty()) {
+      node.put("reason", reason);
+    }
+    exchange.reply(reason.isEmpty() ? OK : UNAVAILABLE, Map.of(), node.toString());
+  }
+
+  private void answerConfig(Exchange exchange) {
+    try {
+      exchange.reply(OK, Map.of(), Mappers.json().writeValueAsString(config.state()));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("configuration cannot be written", e);
+    }
+  }
+
+  private void answerStatus(Exchange exchange) {
+    exchange.reply(OK, Map.of(), status().toString());
+  }
+
+  private void answerPage(Exchange exchange) {
+    exchange.reply(OK, "text/html; charset=utf-8", Map.of(), StatusPage.render(status()));
+  }
+
+  /** Returns the whole status, as the page and the command line show it. */
+  private ObjectNode status() {
+    ObjectNode node = Mappers.json().createObjectNode();
+    MemberRecord self = fellows.self();
+    node.put("instance", self.instance().value());
+    node.put("incarnation", Long.toHexString(self.home().incarnation()));
+    node.put("dataCentre", self.dataCentre().value());
+    node.put("revision", config.revision());
+    node.put("obstacle", config.obstacle());
+    node.put("notReady", readiness.notReadyReason());
+    node.set("load", Mappers.json().valueToTree(runtime.coordinator().status()));
+    node.put("links", fellows.linkCount());
+    addMembers(node.putArray("members"));
+    addPools(node.putArray("services"));
+    return node;
+  }
+
+  private void addMembers(ArrayNode members) {
+    for (MemberRecord member : fellows.membership().serving()) {
+      boolean own = member.home().equals(fellows.self().home());
+      long revision = own ? config.revision() : fellows.revisionOf(member.home());
+      members
+          .addObject()
+          .put("instance", member.instance().value())
+          .put("status", member.status().name().toLowerCase(Locale.ROOT))
+          .put("dataCentre", member.dataCentre().value())
+          .put("callers", member.callers().toString())
+          .put("revision", revision);
+    }
+  }
+
+  private void addPools(ArrayNode services) {
+    long now = System.nanoTime();
+    for (Pool pool : runtime.coordinator().pools()) {
+      ObjectNode service = services.addObject();
+      service.put("service", pool.service().name().value());
+      service.put("inFlight", pool.inFlight());
+      service.put("capacity", pool.capacity(now));
+      ArrayNode replicas = service.putArray("replicas");
+      for (Replica replica : pool.replicas()) {
+        replicas
+            .addObject()
+            .put("replica", replica.listed().id().value())
+            .put("dataCentre", replica.listed().dataCentre().value())
+            .put("state", stateOf(replica, now))
+            .put("inFlight", replica.inFlight())
+            .put("limit", replica.limit())
+            .put("slowness", Math.round(replica.slowness() * 100) / 100.0);
+      }
+    }
+  }
+
+  private static String stateOf(Replica replica, long now) {
+    if (replica.isLeaving()) {
+      return "leaving";
+    }
+    if (replica.isEjected(now)) {
+      return "ejected";
+    }
+    return replica.isWordValid(now) ? "live" : "not heard";
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/SettingsException.java
@@ -0,0 +1,26 @@
+package org.arbutusspar.entry;
+
+import java.util.List;
+
+/** Thrown when settings are missing or malformed; names all mistakes. */
+public final class SettingsException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  private final List<String> problems;
+
+  /**
+   * Creates the exception.
+   *
+   * @param problems one message for each mistake, not null
+   */
+  public SettingsException(List<String> problems) {
+    super(String.join("; ", problems));
+    this.problems = List.copyOf(problems);
+  }
+
+  /** Returns one message for each mistake. */
+  public List<String> problems() {
+    return problems;
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon: serves callers and operators, and runs the core's decisions. */
+package org.arbutusspar.entry;
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/codec/Sha256.java
@@ -0,0 +1,27 @@
+package org.arbutusspar.io.codec;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 of texts, for keys that are stored hashed. */
+public final class Sha256 {
+
+  private Sha256() {}
+
+  /**
+   * Returns the hash of a text.
+   *
+   * @param text the text, not null
+   * @return 64 lower-case hexadecimal digits
+   */
+  public static String hex(String text) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("the runtime lacks SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/config/Fields.java
@@ -0,0 +1,206 @@
+package org.arbutusspar.io.config;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/** Typed access to the fields of one mapping; every mistake is reported, none is thrown. */
+final class Fields {
+
+  private final YamlValue.Mapping mapping;
+  private final String path;
+  private final List<ConfigProblem> problems;
+
+  private Fields(YamlValue.Mapping mapping, String path, List<ConfigProblem> problems) {
+    this.mapping = mapping;
+    this.path = path;
+    this.problems = problems;
+  }
+
+  /** Returns the fields of a value; a value that is no mapping is reported and has no fields. */
+  static Fields of(YamlValue value, String path, List<ConfigProblem> problems) {
+    if (value instanceof YamlValue.Mapping mapping) {
+      return new Fields(mapping, path, problems);
+    }
+    add(problems, value.place(), path, "must be a mapping, not a " + value.typeName());
+    return new Fields(new YamlValue.Mapping(value.place(), Map.of()), path, problems);
+  }
+
+  /** Reports every key that is not among the known ones. */
+  Fields only(Set<String> known) {
+    mapping
+        .entries()
+        .forEach(
+            (key, entry) -> {
+              if (!known.contains(key)) {
+                add(problems, entry.place(), child(key), "unknown key");
+              }
+            });
+    return this;
+  }
+
+  Map<String, YamlValue.Entry> entries() {
+    return mapping.entries();
+  }
+
+  String child(String key) {
+    return path.isEmpty() ? key : path + "." + key;
+  }
+
+  /** Returns the value of a key, or empty; a missing key is not reported. */
+  Optional<YamlValue> value(String key) {
+    return Optional.ofNullable(mapping.entries().get(key)).map(YamlValue.Entry::value);
+  }
+
+  /** Returns the fields below a key; a missing key is reported. */
+  Fields below(String key) {
+    Optional<YamlValue> value = value(key);
+    if (value.isEmpty()) {
+      missing(key);
+      return new Fields(new YamlValue.Mapping(mapping.place(), Map.of()), child(key), problems);
+    }
+    return of(value.get(), child(key), problems);
+  }
+
+  /** Returns the items of a list; a missing key is reported. */
+  List<YamlValue> items(String key) {
+    Optional<YamlValue> value = value(key);
+    if (value.isEmpty()) {
+      missing(key);
+      return List.of();
+    }
+    if (value.get() instanceof YamlValue.Sequence sequence) {
+      return sequence.items();
+    }
+    add(
+        problems,
+        value.get().place(),
+        child(key),
+        "must be a list, not a " + value.get().typeName());
+    return List.of();
+  }
+
+  String text(String key) {
+    return scalar(key, "", "a text", Function.identity());
+  }
+
+  String text(String key, String fallback) {
+    return value(key).isEmpty() ? fallback : text(key);
+  }
+
+  long integer(String key, long min, long max) {
+    return scalar(key, min, "a whole number from " + min + " to " + max, t -> inRange(t, min, max));
+  }
+
+  long integer(String key, long min, long max, long fallback) {
+    return value(key).isEmpty() ? fallback : integer(key, min, max);
+  }
+
+  private static Long inRange(String text, long min, long max) {
+    long number = Long.parseLong(text);
+    if (number < min || number > max) {
+      throw new NumberFormatException("out of range");
+    }
+    return number;
+  }
+
+  double decimal(String key, double min, double max) {
+    String expected = String.format(Locale.ROOT, "a number from %s to %s", plain(min), plain(max));
+    return scalar(key, min, expected, t -> inRange(t, min, max));
+  }
+
+  private static Double inRange(String text, double min, double max) {
+    double number = Double.parseDouble(text);
+    if (!(number >= min && number <= max)) {
+      throw new NumberFormatException("out of range");
+    }
+    return number;
+  }
+
+  private static String plain(double number) {
+    return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
+  }
+
+  boolean flag(String key, boolean fallback) {
+    if (value(key).isEmpty()) {
+      return fallback;
+    }
+    return scalar(
+        key,
+        fallback,
+        "true or false",
+        t -> {
+          if (!t.equals("true") && !t.equals("false")) {
+            throw new IllegalArgumentException(t);
+          }
+          return t.equals("true");
+        });
+  }
+
+  <E extends Enum<E>> E choice(String key, Class<E> type, E fallback) {
+    String names =
+        String.join(
+            ", ",
+            List.of(type.getEnumConstants()).stream()
+                .map(e -> e.name().toLowerCase(Locale.ROOT))
+                .toList());
+    return scalar(
+        key,
+        fallback,
+        "one of " + names,
+        t -> {
+          if (!t.equals(t.toLowerCase(Locale.ROOT))) {
+            throw new IllegalArgumentException(t);
+          }
+          return Enum.valueOf(type, t.toUpperCase(Locale.ROOT));
+        });
+  }
+
+  private <T> T scalar(String key, T fallback, String expected, Function<String, T> parse) {
+    Optional<YamlValue> value = value(key);
+    if (value.isEmpty()) {
+      missing(key);
+      return fallback;
+    }
+    if (value.get() instanceof YamlValue.Scalar scalar) {
+      try {
+        return parse.apply(scalar.text());
+      } catch (IllegalArgumentException e) {
+        add(
+            problems,
+            scalar.place(),
+            child(key),
+            "must be " + expected + ", not '" + shortened(scalar.text()) + "'");
+        return fallback;
+      }
+    }
+    add(
+        problems,
+        value.get().place(),
+        child(key),
+        "must be " + expected + ", not a " + value.get().typeName());
+    return fallback;
+  }
+
+  private static String shortened(String text) {
+    int max = 40;
+    return text.length() <= max ? text : text.substring(0, max) + "...";
+  }
+
+  /** Reports a mistake of the mapping as a whole. */
+  void report(String message) {
+    add(problems, mapping.place(), path, message);
+  }
+
+  private void missing(String key) {
+    add(problems, mapping.place(), child(key), "is missing");
+  }
+
+  private static void add(
+      List<ConfigProblem> problems, YamlValue.Place place, String field, String message) {
+    problems.add(new ConfigProblem(place.file(), place.line(), field, message));
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/HttpCaller.java
@@ -0,0 +1,193 @@
+package org.arbutusspar.io.http;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.arbutusspar.io.StepException;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Makes HTTP calls. Safe for use by several threads. */
+public final class HttpCaller implements AutoCloseable {
+
+  private static final int MAX_CONNECTIONS_PER_DESTINATION = 4_096;
+  private static final int MAX_QUEUED_PER_DESTINATION = 16_384;
+  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+  private static final int MAX_HEADER_BYTES = 16 * 1024;
+  private static final int MAX_BODY_BYTES = 8 << 20;
+  private static final int MIN_THREADS = 4;
+
+  private final HttpClient client;
+
+  private HttpCaller(HttpClient client) {
+    this.client = client;
+  }
+
+  /**
+   * Returns a started caller.
+   *
+   * @param name name of its threads, not null
+   * @param bindHost IP number that calls come from; empty for any
+   * @param threads most threads, at least 4
+   * @return the caller, to be closed by whoever asked for it
+   */
+  public static HttpCaller start(String name, String bindHost, int threads) {
+    QueuedThreadPool pool = new QueuedThreadPool(Math.max(MIN_THREADS, threads), MIN_THREADS);
+    pool.setName(name);
+    pool.setDaemon(true);
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(Math.max(1, Math.min(2, threads / MIN_THREADS)));
+    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client.setExecutor(pool);
+    client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
+    client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_DESTINATION);
+    client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+    client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
+    client.setFollowRedirects(false);
+    client.setUserAgentField(null);
+    client.setDestinationIdleTimeout(2 * IDLE_TIMEOUT_MILLIS);
+    if (!bindHost.isEmpty()) {
+      client.setBindAddress(new InetSocketAddress(bindHost, 0));
+    }
+    try {
+      client.start();
+    } catch (Exception e) {
+      throw new StepException("start", name, "HTTP client did not start", e);
+    }
+    client.getContentDecoderFactories().clear();
+    return new HttpCaller(client);
+  }
+
+  /**
+   * Makes a call and gathers the whole answer.
+   *
+   * @param step name of the step, for errors, not null
+   * @param call the call, not null
+   * @return the answer of any status; or failed with a {@link StepException}
+   */
+  public CompletableFuture<HttpReply> call(String step, HttpCall call) {
+    Objects.requireNonNull(step, "step");
+    CompletableFuture<HttpReply> future = new CompletableFuture<>();
+    Request request = newRequest(call);
+    AtomicBoolean handedOver = new AtomicBoolean();
+    request.onRequestBegin(r -> handedOver.set(true));
+    request.timeout(call.timeoutMillis(), TimeUnit.MILLISECONDS);
+    request.send(
+        new BufferingResponseListener(MAX_BODY_BYTES) {
+          @Override
+          public void onComplete(Result result) {
+            if (result.isFailed()) {
+              future.completeExceptionally(
+                  failure(step, call.uri(), result.getFailure(), handedOver.get()));
+              return;
+            }
+            byte[] content = getContent() == null ? new byte[0] : getContent();
+            future.complete(
+                HttpReply.of(
+                    result.getResponse().getStatus(), result.getResponse().getHeaders(), content));
+          }
+        });
+    return future;
+  }
+
+  /**
+   * Makes a call and passes on what happens to it.
+   *
+   * @param call the call, not null
+   * @param listener told of each step, on threads of the caller, not null
+   * @return what cancels the call
+   */
+  public Cancellable stream(HttpCall call, StreamListener listener) {
+    Request request = newRequest(call);
+    request.timeout(call.timeoutMillis(), TimeUnit.MILLISECONDS);
+    request.onRequestBegin(r -> listener.onHandedOver());
+    request.onResponseHeaders(
+        response -> listener.onHeaders(response.getStatus(), response.getHeaders()));
+    request.onResponseContent((response, buffer) -> listener.onContent(buffer));
+    request.send(
+        result -> {
+          if (result.isFailed()) {
+            listener.onFailure(result.getFailure());
+          } else {
+            listener.onSuccess();
+          }
+        });
+    return () -> request.abort(new StepException("cancel", call.uri().getAuthority(), "", null));
+  }
+
+  private Request newRequest(HttpCall call) {
+    Request request = client.newRequest(call.uri()).method(call.method()).tag(call.pool());
+    call.headers().forEach((name, value) -> request.headers(h -> h.put(name, value)));
+    if (call.closeAfter()) {
+      request.headers(h -> h.put(HttpHeader.CONNECTION, "close"));
+    }
+    if (!call.body().isEmpty()) {
+      request.body(new StringRequestContent("application/json", call.body()));
+    }
+    return request;
+  }
+
+  private static StepException failure(String step, URI uri, Throwable cause, boolean handedOver) {
+    String message = String.valueOf(cause.getMessage());
+    return new StepException(step, uri.getAuthority(), message, cause, handedOver);
+  }
+
+  @Override
+  public void close() {
+    LifeCycle.stop(client);
+  }
+
+  /** What cancels a call. */
+  public interface Cancellable {
+
+    /** Gives the call up; its connection is closed. */
+    void cancel();
+  }
+
+  /** Told of the steps of a call. */
+  public interface StreamListener {
+
+    /** The first byte is about to be handed to the peer; not told if no connection was made. */
+    void onHandedOver();
+
+    /**
+     * The answer's header arrived.
+     *
+     * @param status status code
+     * @param headers header fields
+     */
+    void onHeaders(int status, HttpFields headers);
+
+    /**
+     * A part of the body arrived.
+     *
+     * @param buffer the part; not to be kept
+     */
+    void onContent(ByteBuffer buffer);
+
+    /** The answer arrived whole. */
+    void onSuccess();
+
+    /**
+     * The call failed or was cancelled.
+     *
+     * @param cause why
+     */
+    void onFailure(Throwable cause);
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamWriter.java
@@ -0,0 +1,126 @@
+package org.arbutusspar.io.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Writes a stream in order without blocking. A reader that falls too far behind is cut off. Safe
+ * for use by several threads.
+ */
+public final class StreamWriter {
+
+  private static final int MAX_PENDING_BYTES = 1 << 20;
+
+  private final Response response;
+  private final Callback callback;
+  private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+  private int pendingBytes;
+  private boolean writing;
+  private boolean ending;
+  private boolean failed;
+  private Runnable onFailure = () -> {};
+
+  private StreamWriter(Response response, Callback callback) {
+    this.response = response;
+    this.callback = callback;
+  }
+
+  static StreamWriter create(Response response, Callback callback) {
+    return new StreamWriter(response, callback);
+  }
+
+  /**
+   * Sets what is run once if the reader goes away or is cut off.
+   *
+   * @param action the action, not null
+   */
+  public synchronized void onFailure(Runnable action) {
+    onFailure = action;
+  }
+
+  /**
+   * Writes a part.
+   *
+   * @param text the part, not null
+   * @return false if the stream has failed or ended
+   */
+  public boolean write(String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    boolean tooFar;
+    synchronized (this) {
+      if (failed || ending) {
+        return false;
+      }
+      pending.addLast(ByteBuffer.wrap(bytes));
+      pendingBytes += bytes.length;
+      tooFar = pendingBytes > MAX_PENDING_BYTES;
+    }
+    if (tooFar) {
+      fail(new IOException("reader is too slow"));
+      return false;
+    }
+    writeNext();
+    return true;
+  }
+
+  /** Ends the stream after what was written. */
+  public void end() {
+    synchronized (this) {
+      ending = true;
+    }
+    writeNext();
+  }
+
+  /** Ends the stream without its regular end; the connection is closed. */
+  public void abort() {
+    fail(new IOException("stream aborted"));
+  }
+
+  private void writeNext() {
+    ByteBuffer next;
+    boolean last;
+    synchronized (this) {
+      if (writing || failed) {
+        return;
+      }
+      next = pending.pollFirst();
+      last = next == null && ending;
+      if (next == null && !last) {
+        return;
+      }
+      pendingBytes -= next == null ? 0 : next.remaining();
+      writing = true;
+    }
+    if (last) {
+      response.write(true, ByteBuffer.allocate(0), callback);
+    } else {
+      response.write(false, next, Callback.from(this::onWritten, this::fail));
+    }
+  }
+
+  private void onWritten() {
+    synchronized (this) {
+      writing = false;
+    }
+    writeNext();
+  }
+
+  private void fail(Throwable cause) {
+    Runnable action;
+    synchronized (this) {
+      if (failed) {
+        return;
+      }
+      failed = true;
+      pending.clear();
+      action = onFailure;
+    }
+    callback.failed(cause);
+    action.run();
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded HTTP calls through Jetty's client. */
+package org.arbutusspar.io.http;
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/Link.java
@@ -0,0 +1,195 @@
+package org.arbutusspar.io.link;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.arbutusspar.core.member.MemberRecord;
+import org.arbutusspar.core.route.Endpoint;
+
+/**
+ * One connection to a fellow instance. Messages are written by a thread of the link's own, so that
+ * a fellow that does not read holds up nobody.
+ */
+public final class Link implements AutoCloseable {
+
+  /** A link on which nothing arrives for this long is closed. */
+  public static final int SILENCE_MILLIS = 2_000;
+
+  /** Longest handshake. */
+  static final int HANDSHAKE_MILLIS = 1_000;
+
+  private static final int MAX_QUEUED = 4_096;
+  private static final long WRITER_WAIT_MILLIS = 200;
+
+  private final Socket socket;
+  private final DataInputStream in;
+  private final DataOutputStream out;
+  private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(MAX_QUEUED);
+  private volatile boolean closed;
+  private volatile MemberRecord peer;
+
+  private Link(Socket socket) throws IOException {
+    this.socket = socket;
+    this.in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+    this.out = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+  }
+
+  /** Opens a link and proves the secret to the fellow at an endpoint. */
+  static Link open(Socket socket, LinkSecret secret, MemberRecord self) throws IOException {
+    Link link = prepare(socket);
+    byte[] nonce = secret.newNonce();
+    link.writeNow(new LinkMessage.Hello(LinkMessage.VERSION, nonce));
+    LinkMessage.Challenge challenge = link.expect(LinkMessage.Challenge.class);
+    requireVersion(challenge.version());
+    boolean genuine =
+        secret.isProof(
+            challenge.proof(),
+            LinkSecret.Role.ACCEPTER,
+            nonce,
+            challenge.nonce(),
+            challenge.self().home());
+    require(genuine, "fellow does not know the secret");
+    byte[] proof = secret.proof(LinkSecret.Role.OPENER, nonce, challenge.nonce(), self.home());
+    link.writeNow(new LinkMessage.Join(self, proof));
+    link.expect(LinkMessage.Welcome.class);
+    link.peer = challenge.self();
+    socket.setSoTimeout(SILENCE_MILLIS);
+    return link;
+  }
+
+  /** Accepts a link from a fellow that proves the secret. */
+  static Link accept(Socket socket, LinkSecret secret, MemberRecord self) throws IOException {
+    Link link = prepare(socket);
+    LinkMessage.Hello hello = link.expect(LinkMessage.Hello.class);
+    requireVersion(hello.version());
+    require(hello.nonce() != null, "handshake lacks a nonce");
+    byte[] nonce = secret.newNonce();
+    byte[] proof = secret.proof(LinkSecret.Role.ACCEPTER, hello.nonce(), nonce, self.home());
+    link.writeNow(new LinkMessage.Challenge(LinkMessage.VERSION, nonce, self, proof));
+    LinkMessage.Join join = link.expect(LinkMessage.Join.class);
+    boolean genuine =
+        secret.isProof(
+            join.proof(), LinkSecret.Role.OPENER, hello.nonce(), nonce, join.self().home());
+    require(genuine, "fellow does not know the secret");
+    link.writeNow(new LinkMessage.Welcome());
+    link.peer = join.self();
+    socket.setSoTimeout(SILENCE_MILLIS);
+    return link;
+  }
+
+  private static Link prepare(Socket socket) throws IOException {
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(HANDSHAKE_MILLIS);
+    return new Link(socket);
+  }
+
+  private static void requireVersion(int version) throws IOException {
+    require(
+        version == LinkMessage.VERSION,
+        "fellow speaks version " + version + ", not " + LinkMessage.VERSION);
+  }
+
+  private static void require(boolean holds, String message) throws IOException {
+    if (!holds) {
+      throw new IOException(message);
+    }
+  }
+
+  private <T extends LinkMessage> T expect(Class<T> type) throws IOException {
+    LinkMessage message = LinkCodec.read(in, LinkCodec.MAX_HANDSHAKE_BYTES);
+    if (!type.isInstance(message)) {
+      throw new IOException("handshake expects " + type.getSimpleName());
+    }
+    return type.cast(message);
+  }
+
+  private void writeNow(LinkMessage message) throws IOException {
+    LinkCodec.write(out, LinkCodec.encode(message));
+    out.flush();
+  }
+
+  /** Returns the fellow's record as of the handshake. */
+  public MemberRecord peer() {
+    return peer;
+  }
+
+  /** Returns where the fellow listens for links. */
+  public Endpoint endpoint() {
+    return peer.links();
+  }
+
+  /** Returns whether the link has ended. */
+  public boolean isClosed() {
+    return closed;
+  }
+
+  /**
+   * Sends a message, in order and some time later. A link whose queue is full is closed.
+   *
+   * @param message the message, not null
+   * @return whether the message was queued
+   */
+  public boolean send(LinkMessage message) {
+    try {
+      boolean queued = !closed && queue.offer(LinkCodec.encode(message));
+      if (!queued) {
+        close();
+      }
+      return queued;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** Reads messages until the link ends; returns why it ended. */
+  String readAll(LinkHandler handler) {
+    Thread writer = new Thread(this::writeAll, "link-writer-" + peer.instance());
+    writer.setDaemon(true);
+    writer.start();
+    try {
+      while (!closed) {
+        handler.onMessage(this, LinkCodec.read(in, LinkCodec.MAX_FRAME_BYTES));
+      }
+      return "closed";
+    } catch (IOException e) {
+      return e.getClass().getSimpleName() + ": " + e.getMessage();
+    } finally {
+      close();
+    }
+  }
+
+  private void writeAll() {
+    try {
+      while (!closed) {
+        byte[] body = queue.poll(WRITER_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        if (body != null) {
+          LinkCodec.write(out, body);
+        }
+        if (queue.isEmpty()) {
+          out.flush();
+        }
+      }
+    } catch (IOException e) {
+      close();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      close();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // Nothing is left to be done with a socket that does not close.
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/Links.java
@@ -0,0 +1,223 @@
+package org.arbutusspar.io.link;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.arbutusspar.core.id.Home;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.StepException;
+
+/**
+ * All links of one instance: accepts those of others, and keeps those that are wanted open. Safe
+ * for use by several threads.
+ */
+public final class Links implements AutoCloseable {
+
+  private static final int MAX_ACCEPTED = 64;
+  private static final int BACKLOG = 32;
+  private static final long RETRY_MILLIS = 500;
+
+  private final Endpoint endpoint;
+  private final LinkSecret secret;
+  private final LinkHandler handler;
+  private final ServerSocket server;
+  private final Map<Endpoint, Dialer> dialers = new HashMap<>();
+  private final Map<Home, Link> opened = new ConcurrentHashMap<>();
+  private final Set<Socket> accepted = ConcurrentHashMap.newKeySet();
+  private volatile boolean closed;
+
+  private Links(Endpoint endpoint, LinkSecret secret, LinkHandler handler, ServerSocket server) {
+    this.endpoint = endpoint;
+    this.secret = secret;
+    this.handler = handler;
+    this.server = server;
+  }
+
+  /**
+   * Starts to accept links.
+   *
+   * @param endpoint where to listen, not null
+   * @param secret the shared secret, not null
+   * @param handler told what happens, not null
+   * @return the links, to be closed by whoever asked for them
+   * @throws StepException if the endpoint cannot be listened on
+   */
+  public static Links start(Endpoint endpoint, LinkSecret secret, LinkHandler handler) {
+    Objects.requireNonNull(secret, "secret");
+    Objects.requireNonNull(handler, "handler");
+    try {
+      ServerSocket server =
+          new ServerSocket(endpoint.port(), BACKLOG, InetAddress.getByName(endpoint.host()));
+      Links links = new Links(endpoint, secret, handler, server);
+      startThread("link-accept", links::acceptAll);
+      return links;
+    } catch (IOException e) {
+      throw new StepException("link-listen", endpoint.toString(), e.getMessage(), e);
+    }
+  }
+
+  /**
+   * Opens the links that are wanted and closes those that are no longer.
+   *
+   * @param wanted endpoints of fellows, not null
+   */
+  public synchronized void want(Collection<Endpoint> wanted) {
+    Set<Endpoint> set = new HashSet<>(wanted);
+    dialers
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean unwanted = !set.contains(entry.getKey());
+              if (unwanted) {
+                entry.getValue().stop();
+              }
+              return unwanted;
+            });
+    for (Endpoint each : set) {
+      if (!closed && !dialers.containsKey(each)) {
+        Dialer dialer = new Dialer(each);
+        dialers.put(each, dialer);
+        startThread("link-" + each, dialer::run);
+      }
+    }
+  }
+
+  /**
+   * Returns the link that this instance opened to an incarnation.
+   *
+   * @param home the incarnation, not null
+   * @return the link, or empty if there is none
+   */
+  public Optional<Link> find(Home home) {
+    return Optional.ofNullable(opened.get(home)).filter(link -> !link.isClosed());
+  }
+
+  /** Returns the links that this instance opened and that are up. */
+  public List<Link> opened() {
+    return opened.values().stream().filter(link -> !link.isClosed()).toList();
+  }
+
+  private void acceptAll() {
+    while (!closed) {
+      try {
+        Socket socket = server.accept();
+        if (accepted.size() >= MAX_ACCEPTED) {
+          socket.close();
+          continue;
+        }
+        accepted.add(socket);
+        startThread("link-in", () -> serve(socket));
+      } catch (IOException e) {
+        pause(RETRY_MILLIS);
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket;
+        Link link = Link.accept(socket, secret, handler.self())) {
+      link.readAll(handler);
+    } catch (IOException | RuntimeException e) {
+      // A stranger or a broken handshake; closing the connection is all the answer it gets.
+    } finally {
+      accepted.remove(socket);
+    }
+  }
+
+  private static void startThread(String name, Runnable body) {
+    Thread thread = new Thread(body, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    want(List.of());
+    try {
+      server.close();
+    } catch (IOException e) {
+      // Nothing is left to be done with a socket that does not close.
+    }
+    for (Socket socket : new ArrayList<>(accepted)) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // As above.
+      }
+    }
+  }
+
+  /** Keeps one link open until it is stopped. */
+  private final class Dialer {
+    private final Endpoint target;
+    private volatile boolean stopped;
+    private volatile Link link;
+
+    private Dialer(Endpoint target) {
+      this.target = target;
+    }
+
+    private void run() {
+      while (!stopped) {
+        try (Socket socket = connect();
+            Link fresh = Link.open(socket, secret, handler.self())) {
+          serve(fresh);
+        } catch (IOException | RuntimeException e) {
+          if (!stopped) {
+            handler.onFailed(target, e.getClass().getSimpleName() + ": " + e.getMessage());
+            pause(RETRY_MILLIS);
+          }
+        }
+      }
+    }
+
+    private Socket connect() throws IOException {
+      Socket socket = new Socket();
+      socket.bind(new InetSocketAddress(endpoint.host(), 0));
+      socket.connect(new InetSocketAddress(target.host(), target.port()), Link.HANDSHAKE_MILLIS);
+      return socket;
+    }
+
+    private void serve(Link fresh) {
+      link = fresh;
+      Home home = fresh.peer().home();
+      opened.put(home, fresh);
+      handler.onUp(fresh);
+      if (stopped) {
+        fresh.close();
+      }
+      fresh.readAll(handler);
+      opened.remove(home, fresh);
+      handler.onDown(fresh);
+    }
+
+    private void stop() {
+      stopped = true;
+      Link current = link;
+      if (current != null) {
+        current.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/LoadReports.java
@@ -0,0 +1,100 @@
+package org.arbutusspar.io.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import org.arbutusspar.core.route.LoadReport;
+import org.arbutusspar.io.codec.Mappers;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * Load reports in the text form of the Open Request Cost Aggregation header, and in JSON.
+ *
+ * <p>Header: {@code endpoint-load-metrics: TEXT named_metrics.running=2, named_metrics.waiting=0,
+ * named_metrics.leaving=0}.
+ */
+public final class LoadReports {
+
+  /** Name of the header field. */
+  public static final String HEADER = "endpoint-load-metrics";
+
+  private static final String FORMAT = "TEXT ";
+  private static final String PREFIX = "named_metrics.";
+  private static final int MAX_HEADER_CHARS = 1_000;
+
+  private LoadReports() {}
+
+  /**
+   * Returns the header value of a report.
+   *
+   * @param report the report, not null
+   * @return the value
+   */
+  public static String toHeader(LoadReport report) {
+    return FORMAT
+        + PREFIX
+        + "running="
+        + report.running()
+        + ", "
+        + PREFIX
+        + "waiting="
+        + report.waiting()
+        + ", "
+        + PREFIX
+        + "leaving="
+        + (report.leaving() ? 1 : 0);
+  }
+
+  /**
+   * Returns the report in a header.
+   *
+   * @param headers header fields of an answer, not null
+   * @return the report, or empty if there is none or it is malformed
+   */
+  public static Optional<LoadReport> fromHeaders(HttpFields headers) {
+    String value = headers.get(HEADER);
+    if (value == null || value.length() > MAX_HEADER_CHARS || !value.startsWith(FORMAT)) {
+      return Optional.empty();
+    }
+    int running = -1;
+    int waiting = 0;
+    boolean leaving = false;
+    for (String part : value.substring(FORMAT.length()).split(",")) {
+      String[] pair = part.trim().split("=", 2);
+      if (pair.length == 2 && pair[1].matches("[0-9]{1,6}")) {
+        int number = Integer.parseInt(pair[1]);
+        switch (pair[0]) {
+          case PREFIX + "running" -> running = number;
+          case PREFIX + "waiting" -> waiting = number;
+          case PREFIX + "leaving" -> leaving = number > 0;
+          default -> {
+            // Other metrics are of no use here.
+          }
+        }
+      }
+    }
+    return running < 0 ? Optional.empty() : Optional.of(new LoadReport(running, waiting, leaving));
+  }
+
+  /**
+   * Returns the report in the JSON body of a poll's answer.
+   *
+   * @param body the body, not null
+   * @return the report, or empty if it is malformed
+   */
+  public static Optional<LoadReport> fromJson(String body) {
+    try {
+      JsonNode node = Mappers.json().readTree(body);
+      if (node == null || !node.path("running").canConvertToInt()) {
+        return Optional.empty();
+      }
+      return Optional.of(
+          new LoadReport(
+              Math.max(0, node.path("running").asInt()),
+              Math.max(0, node.path("waiting").asInt(0)),
+              node.path("leaving").asBoolean(false)));
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/StageCodec.java
@@ -0,0 +1,139 @@
+package org.arbutusspar.io.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutusspar.core.config.Service;
+import org.arbutusspar.core.config.Stage;
+import org.arbutusspar.core.config.StageKind;
+import org.arbutusspar.core.request.Document;
+import org.arbutusspar.core.request.RequestData;
+import org.arbutusspar.core.request.StageOutput;
+import org.arbutusspar.core.request.StageOutputException;
+import org.arbutusspar.io.codec.Mappers;
+
+/** Bodies of calls to upstreams, and their answers. */
+final class StageCodec {
+
+  private StageCodec() {}
+
+  /** Returns the HTTP path of a service's calls. */
+  static String path(Service service) {
+    return switch (service.kind()) {
+      case ENCODE -> "/v1/embeddings";
+      case RETRIEVE -> "/v1/retrieve";
+      case RERANK -> "/v1/rerank";
+      case GENERATE -> "/v1/chat/completions";
+      case PLAIN -> service.path();
+    };
+  }
+
+  /** Returns the JSON body of a call. */
+  static String encode(Service service, Stage stage, RequestData data) {
+    if (service.kind() == StageKind.PLAIN) {
+      return data.question();
+    }
+    ObjectNode body = Mappers.json().createObjectNode();
+    body.put("model", service.model());
+    switch (service.kind()) {
+      case ENCODE -> body.put("input", data.question());
+      case RETRIEVE -> {
+        ArrayNode vector = body.putArray("vector");
+        data.embedding().forEach(vector::add);
+        body.put("limit", stage.limit());
+      }
+      case RERANK -> {
+        body.put("query", data.question());
+        ArrayNode documents = body.putArray("documents");
+        data.documents().forEach(d -> documents.add(d.text()));
+        body.put("top_n", stage.limit());
+      }
+      default -> generate(body, data);
+    }
+    return body.toString();
+  }
+
+  private static void generate(ObjectNode body, RequestData data) {
+    body.put("stream", true);
+    body.put("max_tokens", data.maxTokens());
+    ArrayNode messages = body.putArray("messages");
+    StringBuilder context = new StringBuilder();
+    data.documents().forEach(d -> context.append(d.text()).append('\n'));
+    if (!context.isEmpty()) {
+      messages.addObject().put("role", "system").put("content", context.toString());
+    }
+    messages.addObject().put("role", "user").put("content", data.question());
+  }
+
+  /**
+   * Decodes the answer of any stage but generation.
+   *
+   * @throws StageOutputException if it is malformed
+   */
+  static StageOutput decode(Service service, String body) throws StageOutputException {
+    JsonNode node;
+    try {
+      node = Mappers.json().readTree(body);
+    } catch (JsonProcessingException e) {
+      throw new StageOutputException("answer is not JSON");
+    }
+    if (node == null || node.isMissingNode()) {
+      throw new StageOutputException("answer is empty");
+    }
+    return switch (service.kind()) {
+      case ENCODE -> encoded(node);
+      case RETRIEVE -> retrieved(node);
+      case RERANK -> ranked(node);
+      case PLAIN -> new StageOutput.Plain(body);
+      case GENERATE -> throw new StageOutputException("generation is answered by a stream");
+    };
+  }
+
+  private static StageOutput encoded(JsonNode node) throws StageOutputException {
+    List<Double> vector = new ArrayList<>();
+    for (JsonNode each : array(node.path("data").path(0), "embedding")) {
+      if (!each.isNumber()) {
+        throw new StageOutputException("embedding holds something that is no number");
+      }
+      vector.add(each.asDouble());
+    }
+    return new StageOutput.Encoded(vector);
+  }
+
+  private static StageOutput retrieved(JsonNode node) throws StageOutputException {
+    List<Document> documents = new ArrayList<>();
+    for (JsonNode each : array(node, "documents")) {
+      if (!each.path("id").isTextual() || !each.path("text").isTextual()) {
+        throw new StageOutputException("document lacks id or text");
+      }
+      documents.add(
+          new Document(
+              each.path("id").asText(),
+              each.path("text").asText(),
+              each.path("score").asDouble(0)));
+    }
+    return new StageOutput.Retrieved(documents);
+  }
+
+  private static StageOutput ranked(JsonNode node) throws StageOutputException {
+    List<Integer> order = new ArrayList<>();
+    for (JsonNode each : array(node, "results")) {
+      if (!each.path("index").isInt()) {
+        throw new StageOutputException("rank lacks an index");
+      }
+      order.add(each.path("index").asInt());
+    }
+    return new StageOutput.Ranked(order);
+  }
+
+  private static JsonNode array(JsonNode node, String field) throws StageOutputException {
+    JsonNode array = node.path(field);
+    if (!array.isArray()) {
+      throw new StageOutputException("answer lacks " + field);
+    }
+    return array;
+  }
+}
--- /dev/null
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/PlatformStandin.java
@@ -0,0 +1,147 @@
+package org.arbutusspar.standins;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.codec.Mappers;
+import org.arbutusspar.io.http.Exchange;
+import org.arbutusspar.io.http.HttpHost;
+import org.arbutusspar.io.platform.Listing;
+
+/**
+ * Stand-in for the platform: the log and the list over HTTP.
+ *
+ * <p>Faults are switched with {@code POST /admin/fault?name=value}: {@code log=up|down}, {@code
+ * logLosesAnswers=true|false}, {@code logDelayMs=N}, {@code logRetain=N}, {@code list=up|down},
+ * {@code listLagMs=N}. {@code POST /admin/leaving?replica=ID} and {@code POST
+ * /admin/remove?replica=ID} change the list.
+ */
+public final class PlatformStandin implements AutoCloseable {
+
+  private static final int THREADS = 16;
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_NOT_MODIFIED = 304;
+  private static final int STATUS_NOT_FOUND = 404;
+  private static final int STATUS_UNAVAILABLE = 503;
+  private static final int DEFAULT_LIMIT = 500;
+  private static final String DOWN = "down";
+
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final LogStandin log = LogStandin.create(timer);
+  private final ListStandin list;
+  private final HttpHost host;
+
+  private PlatformStandin(Endpoint endpoint, Listing listing) {
+    list = ListStandin.create(listing, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    host = HttpHost.start("platform", List.of(endpoint), THREADS, this::handle);
+  }
+
+  /**
+   * Starts a stand-in.
+   *
+   * @param endpoint where to listen, not null
+   * @param listing what its list shows at first, not null
+   * @return the stand-in, to be closed by whoever asked for it
+   */
+  public static PlatformStandin start(Endpoint endpoint, Listing listing) {
+    return new PlatformStandin(endpoint, listing);
+  }
+
+  private void handle(Exchange exchange) {
+    switch (exchange.method() + " " + exchange.path()) {
+      case "POST /v1/append" -> append(exchange);
+      case "GET /v1/read" -> read(exchange);
+      case "GET /v1/list" -> list(exchange);
+      case "POST /admin/fault" -> fault(exchange);
+      case "POST /admin/leaving" -> change(exchange, false);
+      case "POST /admin/remove" -> change(exchange, true);
+      default -> exchange.reply(STATUS_NOT_FOUND, Map.of(), "{}");
+    }
+  }
+
+  private void append(Exchange exchange) {
+    if (log.isDown()) {
+      exchange.reply(STATUS_UNAVAILABLE, Map.of(), "{}");
+      return;
+    }
+    long offset = log.append(exchange.body());
+    if (log.losesAnswers()) {
+      exchange.abort();
+      return;
+    }
+    timer.schedule(
+        () -> exchange.reply(STATUS_OK, Map.of(), "{\"offset\":" + offset + "}"),
+        log.delayMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void read(Exchange exchange) {
+    if (log.isDown()) {
+      exchange.reply(STATUS_UNAVAILABLE, Map.of(), "{}");
+      return;
+    }
+    long from = number(exchange, "from", 1);
+    int limit = (int) number(exchange, "limit", DEFAULT_LIMIT);
+    long wait = number(exchange, "waitMs", 0);
+    log.read(from, limit, wait, page -> replyLater(exchange, json(page)));
+  }
+
+  private void replyLater(Exchange exchange, String json) {
+    boolean down = log.isDown();
+    timer.schedule(
+        () -> exchange.reply(down ? STATUS_UNAVAILABLE : STATUS_OK, Map.of(), json),
+        log.delayMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void list(Exchange exchange) {
+    if (list.isDown()) {
+      exchange.reply(STATUS_UNAVAILABLE, Map.of(), "{}");
+      return;
+    }
+    ListStandin.Version version = list.visible();
+    String tag = "\"" + version.number() + "\"";
+    if (exchange.header("If-None-Match").filter(tag::equals).isPresent()) {
+      exchange.reply(STATUS_NOT_MODIFIED, Map.of("ETag", tag), "");
+    } else {
+      exchange.reply(STATUS_OK, Map.of("ETag", tag), json(version.listing()));
+    }
+  }
+
+  private void fault(Exchange exchange) {
+    exchange.query("log").ifPresent(v -> log.setDown(v.equals(DOWN)));
+    exchange.query("logLosesAnswers").ifPresent(v -> log.setLosesAnswers(Boolean.parseBoolean(v)));
+    exchange.query("logDelayMs").ifPresent(v -> log.setDelayMillis(Long.parseLong(v)));
+    exchange.query("logRetain").ifPresent(v -> log.setRetain(Integer.parseInt(v)));
+    exchange.query("list").ifPresent(v -> list.setDown(v.equals(DOWN)));
+    exchange.query("listLagMs").ifPresent(v -> list.setLagMillis(Long.parseLong(v)));
+    exchange.reply(STATUS_OK, Map.of(), "{}");
+  }
+
+  private void change(Exchange exchange, boolean remove) {
+    exchange.query("replica").ifPresent(id -> list.change(id, remove));
+    exchange.reply(STATUS_OK, Map.of(), "{}");
+  }
+
+  private static long number(Exchange exchange, String name, long fallback) {
+    return exchange.query(name).map(Long::parseLong).orElse(fallback);
+  }
+
+  private static String json(Object value) {
+    try {
+      return Mappers.json().writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    host.close();
+    timer.shutdownNow();
+  }
+}
--- /dev/null
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/StandinsMain.java
@@ -0,0 +1,76 @@
+package org.arbutusspar.standins;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.ListedReplica;
+import org.arbutusspar.io.platform.Listing;
+
+/** Runs stand-ins of one deployment as a process, until it is killed. */
+@Command(name = "standins", description = "Runs stand-ins of one deployment")
+public final class StandinsMain {
+
+  @Option(name = "--deployment", description = "cojulun or trentvale")
+  @Required
+  private String deployment;
+
+  @Option(name = "--role", description = "platform, or the name of a data centre")
+  @Required
+  private String role;
+
+  @Option(name = "--instant", description = "replicas answer at once")
+  private boolean instant;
+
+  /** Creates the command; used by the command line parser. */
+  public StandinsMain() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param args the command line
+   * @throws InterruptedException if the wait is interrupted
+   */
+  public static void main(String[] args) throws InterruptedException {
+    SingleCommand.singleCommand(StandinsMain.class).parse(args).run();
+  }
+
+  private void run() throws InterruptedException {
+    Topology topology = Topology.of(deployment);
+    try (AutoCloseable standin =
+        role.equals("platform") ? platform(topology) : upstream(topology)) {
+      System.out.println("event=ready role=" + role + " deployment=" + deployment);
+      new CountDownLatch(1).await();
+    } catch (InterruptedException e) {
+      throw e;
+    } catch (Exception e) {
+      throw new IllegalStateException("stand-in did not close", e);
+    }
+  }
+
+  private static AutoCloseable platform(Topology topology) {
+    Listing listing = new Listing(topology.entryInstances(), topology.replicas());
+    return PlatformStandin.start(topology.platform(), listing);
+  }
+
+  private AutoCloseable upstream(Topology topology) {
+    DataCentre dataCentre = DataCentre.of(role);
+    List<ListedReplica> replicas =
+        topology.replicas().stream().filter(r -> r.dataCentre().equals(dataCentre)).toList();
+    Map<String, ReplicaKind> kinds = new HashMap<>();
+    topology.pools().forEach(p -> kinds.put(p.service(), p.kind()));
+    return UpstreamStandin.start(
+        new UpstreamStandin.Options(
+            replicas, kinds, (from, to) -> distance(topology, from, to), instant));
+  }
+
+  private static double distance(Topology topology, String from, String to) {
+    boolean near = topology.dataCentreOf(from) == topology.dataCentreOf(to);
+    return near ? 0 : topology.oneWayMillis();
+  }
+}
--- /dev/null
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/Topology.java
@@ -0,0 +1,168 @@
+package org.arbutusspar.standins;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.id.InstanceId;
+import org.arbutusspar.core.id.ObjectName;
+import org.arbutusspar.core.id.ReplicaId;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.core.route.ListedReplica;
+import org.arbutusspar.io.platform.Listing;
+
+/**
+ * Where the processes of a deployment run on this machine. The second number of an IP number names
+ * the data centre, so that a stand-in can tell how far away a peer is.
+ *
+ * @param name name of the deployment
+ * @param dataCentres its data centres
+ * @param oneWayMillis time between two data centres, one way
+ * @param clientOneWayMillis time between a client and its data centre, one way
+ * @param instances number of entry instances
+ * @param pools its services and their replica counts
+ */
+public record Topology(
+    String name,
+    List<DataCentre> dataCentres,
+    double oneWayMillis,
+    double clientOneWayMillis,
+    int instances,
+    List<PoolSize> pools) {
+
+  private static final int CALLER_PORT = 7100;
+  private static final int LINK_PORT = 7200;
+  private static final int REPLICA_PORT = 8000;
+  private static final int PLATFORM_PORT = 7000;
+  private static final int FIRST_OCTET_COJULUN = 11;
+  private static final int FIRST_OCTET_TRENT_VALE = 21;
+
+  /** Copies the lists. */
+  public Topology {
+    dataCentres = List.copyOf(dataCentres);
+    pools = List.copyOf(pools);
+  }
+
+  /**
+   * Size of a pool.
+   *
+   * @param service name of the service
+   * @param kind what its replicas do
+   * @param replicas number of replicas
+   */
+  public record PoolSize(String service, ReplicaKind kind, int replicas) {}
+
+  /**
+   * Returns the topology of a deployment of the users.
+   *
+   * @param name {@code cojulun} or {@code trentvale}, not null
+   * @return the topology
+   * @throws IllegalArgumentException if there is no such deployment
+   */
+  public static Topology of(String name) {
+    return switch (name.toLowerCase(Locale.ROOT)) {
+      case "cojulun" -> cojulun();
+      case "trentvale" -> trentVale();
+      default ->
+          throw new IllegalArgumentException(
+              "deployment must be cojulun or trentvale, not '" + name + "'");
+    };
+  }
+
+  private static Topology cojulun() {
+    return new Topology(
+        "cojulun",
+        List.of(DataCentre.of("antigua"), DataCentre.of("xela"), DataCentre.of("chimal")),
+        1.0,
+        1.0,
+        6,
+        List.of(
+            new PoolSize("encoder", ReplicaKind.ENCODE, 3),
+            new PoolSize("catalogue", ReplicaKind.RETRIEVE, 3),
+            new PoolSize("reranker", ReplicaKind.RERANK, 3),
+            new PoolSize("costume-model", ReplicaKind.GENERATE, 6),
+            new PoolSize("booking", ReplicaKind.PLAIN, 3),
+            new PoolSize("repairs", ReplicaKind.PLAIN, 4),
+            new PoolSize("delivery", ReplicaKind.PLAIN, 4),
+            new PoolSize("deposits", ReplicaKind.PLAIN, 4)));
+  }
+
+  private static Topology trentVale() {
+    return new Topology(
+        "trentvale",
+        List.of(DataCentre.of("mids-a"), DataCentre.of("mids-b"), DataCentre.of("mids-c")),
+        1.5,
+        3.0,
+        8,
+        List.of(
+            new PoolSize("encoder", ReplicaKind.ENCODE, 3),
+            new PoolSize("collection-log", ReplicaKind.RETRIEVE, 3),
+            new PoolSize("reranker", ReplicaKind.RERANK, 3),
+            new PoolSize("swap-model", ReplicaKind.GENERATE, 8),
+            new PoolSize("payouts", ReplicaKind.PLAIN, 3),
+            new PoolSize("portal", ReplicaKind.PLAIN, 4),
+            new PoolSize("stock", ReplicaKind.PLAIN, 4),
+            new PoolSize("reminders", ReplicaKind.PLAIN, 4)));
+  }
+
+  /** Returns where the platform's stand-in listens. */
+  public Endpoint platform() {
+    return new Endpoint("127." + (firstOctet() - 1) + ".0.1", PLATFORM_PORT);
+  }
+
+  private int firstOctet() {
+    return name.equals("cojulun") ? FIRST_OCTET_COJULUN : FIRST_OCTET_TRENT_VALE;
+  }
+
+  /**
+   * Returns the data centre of an IP number.
+   *
+   * @param host the IP number, not null
+   * @return position of the data centre, or -1 if it belongs to none
+   */
+  public int dataCentreOf(String host) {
+    String[] parts = host.split("\\.");
+    int index = parts.length == 4 ? Integer.parseInt(parts[1]) - firstOctet() : -1;
+    return index >= 0 && index < dataCentres.size() ? index : -1;
+  }
+
+  /** Returns the entry instances. */
+  public List<Listing.ListedInstance> entryInstances() {
+    List<Listing.ListedInstance> list = new ArrayList<>();
+    for (int i = 0; i < instances; i++) {
+      int dataCentre = i % dataCentres.size();
+      String host = host(dataCentre, 0, 1 + i / dataCentres.size());
+      list.add(
+          new Listing.ListedInstance(
+              InstanceId.of("entry-" + (i + 1)),
+              new Endpoint(host, CALLER_PORT),
+              new Endpoint(host, LINK_PORT),
+              dataCentres.get(dataCentre)));
+    }
+    return list;
+  }
+
+  /** Returns the replicas of all services. */
+  public List<ListedReplica> replicas() {
+    List<ListedReplica> list = new ArrayList<>();
+    for (int p = 0; p < pools.size(); p++) {
+      PoolSize pool = pools.get(p);
+      for (int i = 0; i < pool.replicas(); i++) {
+        int dataCentre = i % dataCentres.size();
+        String host = host(dataCentre, 1 + p, 1 + i);
+        list.add(
+            new ListedReplica(
+                ReplicaId.of(pool.service() + "-" + (i + 1)),
+                ObjectName.of(pool.service()),
+                new Endpoint(host, REPLICA_PORT),
+                dataCentres.get(dataCentre),
+                false));
+      }
+    }
+    return list;
+  }
+
+  private String host(int dataCentre, int third, int fourth) {
+    return "127." + (firstOctet() + dataCentre) + "." + third + "." + fourth;
+  }
+}
--- /dev/null
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/UpstreamStandin.java
@@ -0,0 +1,235 @@
+package org.arbutusspar.standins;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.core.route.ListedReplica;
+import org.arbutusspar.core.route.LoadReport;
+import org.arbutusspar.io.http.Exchange;
+import org.arbutusspar.io.http.HttpHost;
+import org.arbutusspar.io.upstream.LoadReports;
+import org.arbutusspar.io.upstream.UpstreamClient;
+
+/**
+ * Stand-in for many replicas of upstream services, each on an endpoint of its own.
+ *
+ * <p>Faults are switched at any endpoint with {@code POST /admin/fault?replica=ID&name=value}:
+ * {@code slow=FACTOR}, {@code leaving=true|false}, {@code silent=true|false}, {@code cutEvery=N},
+ * {@code failEvery=N}. {@code GET /admin/ledger} tells how often each plain call was run.
+ */
+public final class UpstreamStandin implements AutoCloseable {
+
+  private static final int THREADS = 16;
+  private static final int TIMER_THREADS = 2;
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_BAD_REQUEST = 400;
+  private static final int STATUS_NOT_FOUND = 404;
+  private static final int STATUS_ERROR = 500;
+  private static final int STATUS_UNAVAILABLE = 503;
+  private static final long LEAVING_GRACE_NANOS = 5_000_000_000L;
+
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
+  private final Map<Endpoint, ReplicaStandin> byEndpoint = new HashMap<>();
+  private final Map<ReplicaStandin, Long> leavingSince = new HashMap<>();
+  private final Ledger ledger = Ledger.create();
+  private final Options options;
+  private final HttpHost host;
+
+  private UpstreamStandin(Options options) {
+    this.options = options;
+    List<Endpoint> endpoints = new ArrayList<>();
+    for (ListedReplica each : options.replicas()) {
+      ReplicaKind kind = options.kinds().get(each.service().value());
+      byEndpoint.put(each.endpoint(), ReplicaStandin.create(each, kind, options.instant(), timer));
+      endpoints.add(each.endpoint());
+    }
+    host = HttpHost.start("upstream", endpoints, THREADS, this::handle);
+  }
+
+  /**
+   * What a stand-in serves.
+   *
+   * @param replicas its replicas
+   * @param kinds what the replicas of each service do
+   * @param oneWay tells how far a caller is from a replica
+   * @param instant whether replicas answer at once
+   */
+  public record Options(
+      List<ListedReplica> replicas,
+      Map<String, ReplicaKind> kinds,
+      Distance oneWay,
+      boolean instant) {
+
+    /** Checks the components and copies them. */
+    public Options {
+      replicas = List.copyOf(replicas);
+      kinds = Map.copyOf(kinds);
+      Objects.requireNonNull(oneWay, "oneWay");
+    }
+  }
+
+  /** Tells how far two hosts are apart. */
+  public interface Distance {
+
+    /**
+     * Returns the time between two hosts, one way.
+     *
+     * @param from IP number of the one, not null
+     * @param to IP number of the other, not null
+     * @return milliseconds
+     */
+    double oneWayMillis(String from, String to);
+  }
+
+  /**
+   * Starts a stand-in.
+   *
+   * @param options what it serves, not null
+   * @return the stand-in, to be closed by whoever asked for it
+   */
+  public static UpstreamStandin start(Options options) {
+    return new UpstreamStandin(Objects.requireNonNull(options, "options"));
+  }
+
+  /** Returns how often each plain call was run. */
+  public Ledger ledger() {
+    return ledger;
+  }
+
+  private void handle(Exchange exchange) {
+    ReplicaStandin replica = byEndpoint.get(exchange.local());
+    if (exchange.path().startsWith("/admin/")) {
+      admin(exchange);
+    } else if (replica == null) {
+      exchange.reply(STATUS_NOT_FOUND, Map.of(), "{}");
+    } else if (!replica.fault().isSilent()) {
+      serve(exchange, replica);
+    }
+  }
+
+  private void serve(Exchange exchange, ReplicaStandin replica) {
+    double distance =
+        options.instant()
+            ? 0
+            : 2 * options.oneWay().oneWayMillis(exchange.remoteHost(), exchange.local().host());
+    if (exchange.path().equals("/load")) {
+      replica.after(distance, () -> exchange.reply(STATUS_OK, Map.of(), loadJson(replica)));
+      return;
+    }
+    noteLate(replica);
+    ReplicaStandin.CallFault fault = replica.fault().next();
+    if (fault == ReplicaStandin.CallFault.FAIL) {
+      exchange.reply(STATUS_ERROR, headers(exchange, replica), "{\"error\":\"fault\"}");
+      return;
+    }
+    boolean started =
+        replica.start(() -> replica.after(distance, () -> run(exchange, replica, fault)));
+    if (!started) {
+      exchange.reply(STATUS_UNAVAILABLE, headers(exchange, replica), "{\"error\":\"full\"}");
+    }
+  }
+
+  private synchronized void noteLate(ReplicaStandin replica) {
+    Long since = leavingSince.get(replica);
+    if (since != null && System.nanoTime() - since > LEAVING_GRACE_NANOS) {
+      ledger.countLateForLeaving();
+    }
+  }
+
+  private void run(Exchange exchange, ReplicaStandin replica, ReplicaStandin.CallFault fault) {
+    Work work;
+    try {
+      work = Work.of(replica.kind(), exchange);
+    } catch (IllegalArgumentException e) {
+      replica.end();
+      exchange.reply(STATUS_BAD_REQUEST, headers(exchange, replica), "{\"error\":\"body\"}");
+      return;
+    }
+    if (replica.kind() == ReplicaKind.GENERATE) {
+      TokenStream.start(exchange, replica, work, headers(exchange, replica), fault);
+      return;
+    }
+    if (replica.kind() == ReplicaKind.PLAIN) {
+      ledger.run(exchange.header(UpstreamClient.IDEMPOTENCY_KEY).orElse("none"));
+    }
+    replica.after(
+        replica.millis(replica.kind().millis(work.units())),
+        () -> {
+          replica.end();
+          if (fault == ReplicaStandin.CallFault.CUT) {
+            exchange.abort();
+          } else {
+            exchange.reply(STATUS_OK, headers(exchange, replica), work.answer());
+          }
+        });
+  }
+
+  private static Map<String, String> headers(Exchange exchange, ReplicaStandin replica) {
+    Map<String, String> headers = new HashMap<>();
+    headers.put(LoadReports.HEADER, LoadReports.toHeader(replica.report()));
+    exchange
+        .header(UpstreamClient.IDENTITY)
+        .ifPresent(id -> headers.put(UpstreamClient.IDENTITY, id));
+    return headers;
+  }
+
+  private static String loadJson(ReplicaStandin replica) {
+    LoadReport report = replica.report();
+    return "{\"running\":"
+        + report.running()
+        + ",\"waiting\":"
+        + report.waiting()
+        + ",\"leaving\":"
+        + report.leaving()
+        + "}";
+  }
+
+  private void admin(Exchange exchange) {
+    switch (exchange.method() + " " + exchange.path()) {
+      case "GET /admin/ledger" -> exchange.reply(STATUS_OK, "text/plain", Map.of(), ledger.lines());
+      case "GET /admin/late" ->
+          exchange.reply(STATUS_OK, "text/plain", Map.of(), ledger.lateForLeaving() + "\n");
+      case "POST /admin/fault" -> fault(exchange);
+      default -> exchange.reply(STATUS_NOT_FOUND, Map.of(), "{}");
+    }
+  }
+
+  private void fault(Exchange exchange) {
+    String id = exchange.query("replica").orElse("");
+    for (ReplicaStandin replica : byEndpoint.values()) {
+      if (replica.listed().id().value().equals(id)) {
+        apply(exchange, replica);
+      }
+    }
+    exchange.reply(STATUS_OK, Map.of(), "{}");
+  }
+
+  private void apply(Exchange exchange, ReplicaStandin replica) {
+    ReplicaStandin.Fault fault = replica.fault();
+    exchange.query("slow").ifPresent(v -> fault.setSlowFactor(Double.parseDouble(v)));
+    exchange.query("silent").ifPresent(v -> fault.setSilent(Boolean.parseBoolean(v)));
+    exchange.query("cutEvery").ifPresent(v -> fault.setCutEvery(Integer.parseInt(v)));
+    exchange.query("failEvery").ifPresent(v -> fault.setFailEvery(Integer.parseInt(v)));
+    exchange.query("leaving").ifPresent(v -> setLeaving(replica, Boolean.parseBoolean(v)));
+  }
+
+  private synchronized void setLeaving(ReplicaStandin replica, boolean leaving) {
+    replica.fault().setLeaving(leaving);
+    if (leaving) {
+      leavingSince.put(replica, System.nanoTime());
+    } else {
+      leavingSince.remove(replica);
+    }
+  }
+
+  @Override
+  public void close() {
+    host.close();
+    timer.shutdownNow();
+  }
+}
