--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/LoadCommand.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/LoadCommand.java
@@ -72,7 +72,7 @@
   @Option(
       name = "--outcomes",
       title = "FILE",
-      description = "Write a line for each request: outcome, workspace, identifier, kind")
+      description = "Write a line for each request: outcome, workspace/identifier, kind")
   private String outcomesFile;
 
   @Option(name = "--verify", description = "Check that answers are those of the stand-ins")
@@ -167,11 +167,18 @@
                         + "/"
                         + result.id()
                         + " "
-                        + (spec.service() ? "service" : "pipeline"));
+                        + kindOf(spec));
               }
             });
   }
 
+  private static String kindOf(CallSpec spec) {
+    if (!spec.service()) {
+      return "pipeline";
+    }
+    return spec.repeatable() ? "repeatable" : "once";
+  }
+
   private static CallSpec withDeadline(CallSpec spec, long millis) {
     return new CallSpec(
         spec.path(),
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
@@ -32,6 +32,7 @@
   private static final long POLL_TIMEOUT_MILLIS = 500;
   private static final long RETRY_TIMEOUT_MILLIS = 1_000;
   private static final long LATE_MILLIS = 30_000;
+  private static final long GRACE_MILLIS = 1_000;
   private static final String STEP_POLL = "poll";
 
   private final HttpCaller http;
@@ -126,7 +127,7 @@
   }
 
   private HttpCall httpCall(Action.Send send) {
-    long grace = send.freshConnection() ? LATE_MILLIS : 0;
+    long grace = send.freshConnection() ? LATE_MILLIS : GRACE_MILLIS;
     String body = StageCodec.encode(send.service(), send.stage(), send.data());
     URI uri = uri(send.replica(), StageCodec.path(send.service()));
     HttpCall call =
--- /dev/null
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/AuditMain.java
@@ -0,0 +1,134 @@
+package org.arbutusspar.standins;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.ListedReplica;
+import org.arbutusspar.io.http.HttpCall;
+import org.arbutusspar.io.http.HttpCaller;
+
+/**
+ * Compares what callers were told with what the stand-ins ran, and prints which promises held. Exit
+ * code 4 if one was broken.
+ */
+@Command(name = "audit", description = "Compares outcomes with the stand-ins' ledgers")
+public final class AuditMain {
+
+  private static final int EXIT_BROKEN = 4;
+  private static final long TIMEOUT_MILLIS = 5_000;
+
+  @Option(name = "--deployment", description = "cojulun or trentvale")
+  @Required
+  private String deployment;
+
+  @Option(name = "--outcomes", description = "File written by arbutusctl load")
+  @Required
+  private String outcomes;
+
+  @Option(name = "--nothing-cut", description = "Also check that every request got a final word")
+  private boolean nothingCut;
+
+  /** Creates the command; used by the command line parser. */
+  public AuditMain() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param args the command line
+   * @throws IOException if the outcomes cannot be read
+   */
+  public static void main(String[] args) throws IOException {
+    boolean held = SingleCommand.singleCommand(AuditMain.class).parse(args).run();
+    System.exit(held ? 0 : EXIT_BROKEN);
+  }
+
+  private boolean run() throws IOException {
+    Topology topology = Topology.of(deployment);
+    Map<String, Integer> runs = new LinkedHashMap<>();
+    int late = 0;
+    try (HttpCaller http = HttpCaller.start("audit", "", 1)) {
+      for (DataCentre dataCentre : topology.dataCentres()) {
+        ListedReplica any =
+            topology.replicas().stream()
+                .filter(r -> r.dataCentre().equals(dataCentre))
+                .findFirst()
+                .orElseThrow();
+        addRuns(get(http, any, "/admin/ledger"), runs);
+        late += Integer.parseInt(get(http, any, "/admin/late").trim());
+      }
+    }
+    List<Promise> promises = check(Files.readAllLines(Path.of(outcomes)), runs);
+    promises.add(new Promise("a leaving upstream gets no new work after 5 s", late, 0));
+    promises.forEach(System.out::println);
+    return promises.stream().allMatch(p -> p.broken() == 0);
+  }
+
+  private static String get(HttpCaller http, ListedReplica replica, String path) {
+    URI uri = URI.create("http://" + replica.endpoint() + path);
+    return http.call("audit", HttpCall.get(uri, TIMEOUT_MILLIS)).join().body();
+  }
+
+  private static void addRuns(String ledger, Map<String, Integer> runs) {
+    ledger
+        .lines()
+        .forEach(
+            line -> {
+              int space = line.indexOf(' ');
+              int count = Integer.parseInt(line.substring(0, space));
+              runs.merge(line.substring(space + 1), count, Integer::sum);
+            });
+  }
+
+  private List<Promise> check(List<String> lines, Map<String, Integer> runs) {
+    int once = 0;
+    int twice = 0;
+    int answered = 0;
+    int lost = 0;
+    int notRun = 0;
+    int ranAfterAll = 0;
+    int cut = 0;
+    for (String line : lines) {
+      String[] parts = line.split(" ");
+      int count = runs.getOrDefault(parts[1], 0);
+      boolean isOnce = parts[2].equals("once");
+      once += isOnce ? 1 : 0;
+      twice += isOnce && count > 1 ? 1 : 0;
+      if (parts[0].equals("answered") && isOnce) {
+        answered++;
+        lost += count == 1 ? 0 : 1;
+      }
+      if (parts[0].equals("not_run")) {
+        notRun++;
+        ranAfterAll += count > 0 ? 1 : 0;
+      }
+      cut += parts[0].equals("unreachable") || parts[0].equals("unknown") ? 1 : 0;
+    }
+    List<Promise> promises = new ArrayList<>();
+    promises.add(new Promise("a non-repeatable request runs at most once", twice, once));
+    promises.add(new Promise("an answered non-repeatable request ran", lost, answered));
+    promises.add(new Promise("\"not run\" is true", ranAfterAll, notRun));
+    if (nothingCut) {
+      promises.add(new Promise("no request was cut", cut, lines.size()));
+    }
+    return promises;
+  }
+
+  /** One promise, how often it was broken, and among how many cases. */
+  private record Promise(String text, int broken, int cases) {
+    @Override
+    public String toString() {
+      String verdict = broken == 0 ? "held" : "BROKEN " + broken + " times";
+      return "promise: " + text + ": " + verdict + (cases > 0 ? " (" + cases + " cases)" : "");
+    }
+  }
+}
