--- /dev/null
+++ b/arbutusspar-bench/src/main/java/org/arbutusspar/bench/CoordinatorBenchmark.java
@@ -0,0 +1,141 @@
+package org.arbutusspar.bench;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.arbutusspar.core.config.StageKind;
+import org.arbutusspar.core.flow.Action;
+import org.arbutusspar.core.flow.CallerId;
+import org.arbutusspar.core.flow.Coordinator;
+import org.arbutusspar.core.flow.CoordinatorOptions;
+import org.arbutusspar.core.flow.Event;
+import org.arbutusspar.core.flow.Policy;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.id.Home;
+import org.arbutusspar.core.id.InstanceId;
+import org.arbutusspar.core.id.ObjectName;
+import org.arbutusspar.core.id.PrefixSigner;
+import org.arbutusspar.core.id.RequestId;
+import org.arbutusspar.core.id.RequestKey;
+import org.arbutusspar.core.id.WorkspaceId;
+import org.arbutusspar.core.request.Document;
+import org.arbutusspar.core.request.Request;
+import org.arbutusspar.core.request.RequestData;
+import org.arbutusspar.core.request.StageOutput;
+import org.arbutusspar.core.route.ListedReplica;
+import org.arbutusspar.core.route.LoadReport;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * Time and allocation of a whole request of four stages in the core: one admission, four choices of
+ * a replica, four answers and a final reply.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 2)
+@Measurement(iterations = 5, time = 2)
+@Fork(1)
+public class CoordinatorBenchmark {
+
+  private static final long POLL_EVERY = 1_000;
+  private static final long STEP_NANOS = 10_000;
+
+  /** Replicas in the whole deployment. */
+  @Param({"28", "700", "7700"})
+  public int replicas;
+
+  private final PrefixSigner signer = PrefixSigner.create(new byte[16]);
+  private final Home home = new Home(InstanceId.of("entry-1"), 1);
+  private List<ListedReplica> listed;
+  private Coordinator coordinator;
+  private RequestId id;
+  private long now;
+  private long count;
+
+  /** Creates the benchmark; used by JMH. */
+  public CoordinatorBenchmark() {}
+
+  /** Makes an instance of a deployment of the letter's size. */
+  @Setup
+  public void setUp() {
+    now = 1;
+    coordinator =
+        Coordinator.create(
+            new CoordinatorOptions(home, DataCentre.of("dc0"), Policy.standard(), 1, now, 0));
+    coordinator.handle(new Event.Configured(LargeDeployment.config(31, 1_200)), now);
+    listed = LargeDeployment.replicas(replicas);
+    coordinator.handle(new Event.Listed(listed), now);
+    id = new RequestId(signer.issue(home, 0), "x");
+    hear();
+  }
+
+  private void hear() {
+    for (ListedReplica each : listed) {
+      coordinator.handle(
+          new Event.Polled(each.service(), each.id(), new LoadReport(1, 0, false)), now);
+    }
+  }
+
+  /** Takes one request through its four stages. */
+  @Benchmark
+  public int wholeRequest() {
+    if (count++ % POLL_EVERY == 0) {
+      hear();
+    }
+    now += STEP_NANOS;
+    RequestKey key = new RequestKey(WorkspaceId.of("w" + count % 1_200), id);
+    Request request =
+        new Request(
+            key,
+            new Request.Target(Request.TargetKind.PIPELINE, ObjectName.of("p" + count % 31)),
+            RequestData.of("what costs a crown for the three kings", 64),
+            true,
+            false,
+            now + TimeUnit.SECONDS.toNanos(6),
+            1);
+    List<Action> actions =
+        coordinator.handle(new Event.Arrive(request, new CallerId(count), false), now);
+    int handled = actions.size();
+    Optional<Action.Send> send = sendIn(actions);
+    while (send.isPresent()) {
+      now += STEP_NANOS;
+      actions = coordinator.handle(replyTo(send.get()), now);
+      handled += actions.size();
+      send = sendIn(actions);
+    }
+    return handled;
+  }
+
+  private static Optional<Action.Send> sendIn(List<Action> actions) {
+    for (Action action : actions) {
+      if (action instanceof Action.Send send) {
+        return Optional.of(send);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Event replyTo(Action.Send send) {
+    StageKind kind = send.service().kind();
+    StageOutput output =
+        switch (kind) {
+          case ENCODE -> new StageOutput.Encoded(List.of(1.0));
+          case RETRIEVE -> new StageOutput.Retrieved(List.of(new Document("d", "t", 1)));
+          case RERANK -> new StageOutput.Ranked(List.of(0));
+          case GENERATE -> new StageOutput.Generated("answer", true);
+          case PLAIN -> new StageOutput.Plain("{}");
+        };
+    return new Event.Replied(send.attempt(), output, Optional.of(new LoadReport(1, 0, false)));
+  }
+}
--- /dev/null
+++ b/arbutusspar-bench/src/main/java/org/arbutusspar/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the core. */
+package org.arbutusspar.bench;
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/config/ConfigFold.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/config/ConfigFold.java
@@ -53,7 +53,6 @@
    * @param offset the record's offset, from 1
    * @param record the record, not null
    * @return what became of a change, if the record brought one into force or rejected it
-   * @throws IllegalArgumentException if records are offered with a gap that the log does not have
    */
   public Optional<ChangeResult> offer(long offset, LogRecord record) {
     Objects.requireNonNull(record, "record");
@@ -96,10 +95,11 @@
   }
 
   private void buffer(long offset, LogRecord record) {
-    Validate.isTrue(
-        buffered.isEmpty() || offset == buffered.getLast().offset() + 1,
-        "record %d does not follow the last one",
-        offset);
+    boolean follows = !buffered.isEmpty() && offset == buffered.getLast().offset() + 1;
+    if (!follows) {
+      // The log was truncated past what is buffered, so a snapshot could no longer use it.
+      buffered.clear();
+    }
     buffered.addLast(new OffsetRecord(offset, record));
     if (buffered.size() > MAX_BUFFERED) {
       buffered.removeFirst();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/ActiveRequest.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/ActiveRequest.java
@@ -34,6 +34,7 @@
   private boolean uncertain;
   private boolean told;
   private int emittingAttempt;
+  private final List<Double> bookedMillis = new ArrayList<>();
   private QueueEntry queued;
   private CallerId streamer;
 
@@ -87,11 +88,6 @@
     return stageIndex;
   }
 
-  /** Returns the stages from the current one on. */
-  List<Stage> remainingStages() {
-    return stages.subList(stageIndex, stages.size());
-  }
-
   boolean isLastStage() {
     return stageIndex == stages.size() - 1;
   }
@@ -100,18 +96,27 @@
     return Nanos.toMillis(request.deadlineNanos() - now);
   }
 
-  /** Moves on to the next stage with the data that the current one left. */
+  /** Remembers the work that was booked for each stage, from the first on. */
+  void book(double millis) {
+    bookedMillis.add(millis);
+  }
+
+  /** Returns the work that was booked for a stage, in milliseconds. */
+  double bookedMillis(int stage) {
+    return bookedMillis.get(stage);
+  }
+
+  List<Stage> stages() {
+    return stages;
+  }
+
+  /** Takes the data that the current stage left, and moves on to the next one or past the last. */
   void advance(RequestData next) {
     data = next;
     stageIndex++;
     usedReplicas.clear();
   }
 
-  /** Takes the data of the last stage. */
-  void complete(RequestData next) {
-    data = next;
-  }
-
   AttemptId nextAttemptId() {
     attemptCount++;
     return new AttemptId(key(), stageIndex, attemptCount);
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Dispatcher.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Dispatcher.java
@@ -44,6 +44,7 @@
   private final Timers timers;
   private final Actions actions;
   private final Map<ObjectName, StageQueue> queues = new HashMap<>();
+  private final Backlog backlog = Backlog.create();
   private Objective objective = Objective.BALANCED;
 
   private Dispatcher(
@@ -235,7 +236,34 @@
     return waiting;
   }
 
-  /** Predicts the rest of a request's path. */
+  /** Books the work of all stages of a request that was admitted. */
+  void book(ActiveRequest request) {
+    int candidates = 0;
+    for (Stage stage : request.stages()) {
+      double millis = predictStage(stage, request.data(), candidates);
+      request.book(millis);
+      backlog.add(stage.service(), request.workspace(), millis);
+      candidates = stage.limit();
+    }
+  }
+
+  /** Takes back the work of a stage that a request has done or will not do. */
+  void unbook(ActiveRequest request, int stage) {
+    ObjectName service = request.stages().get(stage).service();
+    backlog.remove(service, request.workspace(), request.bookedMillis(stage));
+  }
+
+  private double predictStage(Stage stage, RequestData data, int candidates) {
+    return pools
+        .find(stage.service())
+        .map(p -> p.costModel().predictMillis(data.expectedUnits(p.service(), candidates)))
+        .orElse(0.0);
+  }
+
+  /**
+   * Predicts the path of a new request. The wait is that of its slowest service: while a request
+   * waits for it, the work booked at the others is done as well.
+   */
   PathForecast forecast(
       WorkspaceShare workspace,
       RequestData data,
@@ -246,13 +274,10 @@
     double wait = 0;
     int candidates = 0;
     for (Stage stage : stages) {
-      Pool pool = pools.find(stage.service()).orElse(null);
-      if (pool != null) {
-        double units = data.expectedUnits(pool.service(), candidates);
-        run += pool.costModel().predictMillis(units);
-        double queued = queue(stage.service()).waitingMillisBefore(workspace);
-        wait += queued / Math.max(1, pool.capacity(now));
-      }
+      run += predictStage(stage, data, candidates);
+      double before = backlog.millisBefore(stage.service(), workspace);
+      int capacity = pools.find(stage.service()).map(p -> p.capacity(now)).orElse(0);
+      wait = Math.max(wait, before / Math.max(1, capacity));
       candidates = stage.limit();
     }
     return new PathForecast(run, wait, remainingMillis, objective.isCostFirst());
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/FairQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/FairQueue.java
@@ -31,7 +31,6 @@
   private double virtualNow;
   private int size;
   private double waitingMillis;
-  private double backloggedShare;
 
   private FairQueue() {}
 
@@ -47,11 +46,9 @@
       dequeue(lane);
       lane.share = entry.workspace().share();
       lane.virtualTime = Math.max(lane.virtualTime, virtualNow);
-      backloggedShare += lane.share;
     }
     lane.entries.add(entry);
     lane.live++;
-    lane.waitingMillis += entry.predictedMillis();
     if (!lane.queued) {
       lane.queued = true;
       backlogged.add(lane);
@@ -109,29 +106,13 @@
     return Math.max(0, waitingMillis);
   }
 
-  @Override
-  public double waitingMillisBefore(WorkspaceShare workspace) {
-    Lane own = lanes.get(workspace.id());
-    double ownMillis = own == null ? 0 : own.waitingMillis;
-    boolean counted = own != null && own.live > 0;
-    double shares = backloggedShare + (counted ? 0 : workspace.share());
-    double fairMillis = ownMillis * shares / workspace.share();
-    return Math.max(0, Math.min(waitingMillis, fairMillis));
-  }
-
   private void take(Lane lane, QueueEntry entry) {
     lane.live--;
-    lane.waitingMillis -= entry.predictedMillis();
     size--;
     waitingMillis -= entry.predictedMillis();
     Invariant.require(lane.live >= 0 && size >= 0, "queue sizes are not negative");
-    if (lane.live == 0) {
-      backloggedShare -= lane.share;
-      lane.waitingMillis = 0;
-    }
     if (size == 0) {
       waitingMillis = 0;
-      backloggedShare = 0;
     }
   }
 
@@ -163,7 +144,6 @@
     private int live;
     private boolean queued;
     private double virtualTime;
-    private double waitingMillis;
 
     /** Returns the next entry that was not removed, or null. */
     private QueueEntry next() {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/FifoQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/FifoQueue.java
@@ -60,11 +60,6 @@
     return Math.max(0, waitingMillis);
   }
 
-  @Override
-  public double waitingMillisBefore(WorkspaceShare workspace) {
-    return waitingMillis();
-  }
-
   private void count(QueueEntry entry, int sign) {
     size += sign;
     waitingMillis = size == 0 ? 0 : waitingMillis + sign * entry.predictedMillis();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/RequestFlow.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/RequestFlow.java
@@ -96,6 +96,7 @@
         request.target().name().value(),
         Outcome.Origin.NO_PEER,
         "remainingMs=" + Math.round(started.remainingMillis(now)));
+    dispatcher.book(started);
     enter(started, now);
   }
 
@@ -150,11 +151,12 @@
     learn(attempt, request, report, now);
     endAttempt(request, attempt, now);
     cancelAttempts(request, now);
-    if (request.isLastStage()) {
-      request.complete(next);
+    dispatcher.unbook(request, request.stageIndex());
+    boolean last = request.isLastStage();
+    request.advance(next);
+    if (last) {
       finish(request, answered(request), now);
     } else {
-      request.advance(next);
       enter(request, now);
     }
     dispatch(attempt.pool().service().name(), now);
@@ -329,6 +331,9 @@
       return;
     }
     Attempt slow = request.attempts().get(0);
+    if (request.remainingMillis(now) < slow.predictedMillis()) {
+      return;
+    }
     if (slow.pool().budget().tryTake() && dispatcher.sendCopy(request, now)) {
       actions.record(
           Decision.Kind.COPY,
@@ -354,6 +359,9 @@
 
   private void finish(ActiveRequest request, Outcome outcome, long now) {
     dispatcher.unqueue(request);
+    for (int stage = request.stageIndex(); stage < request.stages().size(); stage++) {
+      dispatcher.unbook(request, stage);
+    }
     ActiveRequest removed = active.remove(request.key());
     Invariant.require(removed == request, "a request ends once");
     pinnedActive -= request.request().repeatable() ? 0 : 1;
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/StageQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/StageQueue.java
@@ -38,12 +38,4 @@
 
   /** Returns the predicted duration of all waiting requests together, in milliseconds. */
   double waitingMillis();
-
-  /**
-   * Returns the part of {@link #waitingMillis} that is due before a new request of a workspace.
-   *
-   * @param workspace weight and identity of the new request, not null
-   * @return milliseconds
-   */
-  double waitingMillisBefore(WorkspaceShare workspace);
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/member/Membership.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/member/Membership.java
@@ -45,11 +45,13 @@
   private static final int SUCCESSORS = 2;
   private static final int REPAIR_RECORDS = 2;
   private static final int REPEAT_FACTOR = 3;
+  private static final int REPAIR_EVERY = 4;
 
   private final Map<InstanceId, Member> members = new TreeMap<>();
   private final Set<Endpoint> seeds = new LinkedHashSet<>();
-  private final Map<Home, Integer> repairCursor = new HashMap<>();
+  private final Map<Home, Integer> turns = new HashMap<>();
   private MemberRecord self;
+  private int selfRepeats = REPEAT_FACTOR;
   private boolean changed = true;
   private List<Endpoint> wanted = List.of();
 
@@ -145,7 +147,10 @@
    */
   public List<MemberRecord> gossipFor(Home peer) {
     List<MemberRecord> records = new ArrayList<>();
-    records.add(self);
+    if (selfRepeats > 0) {
+      selfRepeats--;
+      records.add(self);
+    }
     for (Member member : members.values()) {
       if (records.size() >= MAX_RECORDS - REPAIR_RECORDS) {
         break;
@@ -155,20 +160,21 @@
         records.add(member.record);
       }
     }
-    addRepairs(peer, records);
+    int turn = turns.merge(peer, 1, Integer::sum);
+    if (turn % REPAIR_EVERY == 1) {
+      addRepairs(turn / REPAIR_EVERY, records);
+    }
     return records;
   }
 
-  private void addRepairs(Home peer, List<MemberRecord> records) {
-    if (members.isEmpty()) {
-      return;
-    }
+  /** Adds a few records, others at each turn, to repair what a fellow may have missed. */
+  private void addRepairs(int turn, List<MemberRecord> records) {
+    records.add(self);
     List<Member> all = List.copyOf(members.values());
-    int cursor = repairCursor.getOrDefault(peer, 0);
     for (int i = 0; i < Math.min(REPAIR_RECORDS, all.size()); i++) {
-      records.add(all.get(Math.floorMod(cursor + i, all.size())).record);
+      int place = Math.floorMod(turn * REPAIR_RECORDS + i, all.size());
+      records.add(all.get(place).record);
     }
-    repairCursor.put(peer, Math.floorMod(cursor + REPAIR_RECORDS, all.size()));
   }
 
   /**
@@ -192,12 +198,17 @@
 
   /** Says that this instance is shutting down. */
   public void leave() {
-    self = self.with(MemberStatus.LEAVING, self.version() + 1);
+    changeSelf(MemberStatus.LEAVING, self.version() + 1);
   }
 
   /** Says that this instance has stopped serving; the last thing it tells. */
   public void stop() {
-    self = self.with(MemberStatus.DEAD, self.version() + 1);
+    changeSelf(MemberStatus.DEAD, self.version() + 1);
+  }
+
+  private void changeSelf(MemberStatus status, long version) {
+    self = self.with(status, version);
+    selfRepeats = repeats();
   }
 
   /**
@@ -207,7 +218,7 @@
     if (changed) {
       wanted = chooseWanted();
       changed = false;
-      repairCursor.keySet().removeIf(h -> !isServing(h));
+      turns.keySet().removeIf(h -> !isServing(h));
     }
     return wanted;
   }
@@ -289,7 +300,7 @@
   private void objectIfWrong(MemberRecord record) {
     boolean same = record.home().equals(self.home());
     if (same && record.version() >= self.version() && record.status() != self.status()) {
-      self = self.with(self.status(), record.version() + 1);
+      changeSelf(self.status(), record.version() + 1);
     }
   }
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/route/AdaptiveLimit.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/route/AdaptiveLimit.java
@@ -18,6 +18,7 @@
   private final int max;
   private double limit;
   private boolean congested;
+  private boolean queued;
 
   private AdaptiveLimit(int initial, int max) {
     this.limit = initial;
@@ -44,7 +45,7 @@
   @Override
   public void onSuccess(double slowness, int inFlight) {
     boolean atLimit = inFlight >= current();
-    if (atLimit && slowness <= MAX_SLOWNESS_TO_GROW) {
+    if (atLimit && !queued && slowness <= MAX_SLOWNESS_TO_GROW) {
       limit = Math.min(max, limit + (congested ? 1 / limit : 1));
     }
   }
@@ -57,7 +58,8 @@
 
   @Override
   public void onReport(LoadReport report, int inFlight) {
-    if (report.waiting() > report.running() && inFlight >= current()) {
+    queued = report.waiting() > 0;
+    if (queued && 2 * inFlight >= current()) {
       congested = true;
       limit = Math.max(1, limit * QUEUE_FACTOR);
     }
--- /dev/null
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/config/ConfigFoldTest.java
@@ -0,0 +1,99 @@
+package org.arbutusspar.core.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class ConfigFoldTest {
+
+  private final ConfigFold fold = ConfigFold.create();
+
+  @Test
+  void ofTwoRacingOperatorsExactlyOneWinsAndTheOtherIsTold() {
+    fold.offer(1, Samples.put("one", 0, Samples.workspace("w", 1)));
+    Optional<ChangeResult> first = fold.offer(2, Samples.put("two", 1, Samples.workspace("w", 2)));
+    Optional<ChangeResult> second =
+        fold.offer(3, Samples.put("three", 1, Samples.workspace("w", 3)));
+    assertTrue(first.orElseThrow().accepted());
+    assertFalse(second.orElseThrow().accepted());
+    assertEquals("workspace/w is at revision 2, the change is based on 1", second.get().reason());
+    assertEquals(2, fold.state().all(Workspace.class).get(0).share());
+    assertEquals(3, fold.state().revision());
+  }
+
+  @Test
+  void changeThatWasAppendedTwiceTakesEffectOnce() {
+    LogRecord.Change create = Samples.put("create", 0, Samples.workspace("w", 1));
+    fold.offer(1, create);
+    fold.offer(2, Samples.delete("delete", 1, Samples.workspace("w", 1).key()));
+    assertEquals(Optional.empty(), fold.offer(3, create));
+    assertTrue(fold.state().objects().isEmpty(), "the late copy must not bring w back");
+  }
+
+  @Test
+  void changeThatLeavesDanglingReferenceIsRejected() {
+    Optional<ChangeResult> result = fold.offer(1, Samples.put("pipe", 0, Samples.pipeline("chat")));
+    assertFalse(result.orElseThrow().accepted());
+    assertEquals("pipeline/chat refers to missing service enc", result.get().reason());
+  }
+
+  @Test
+  void recordOfNewerVersionStopsTheFoldWithoutReverting() {
+    fold.offer(1, Samples.put("one", 0, Samples.workspace("w", 1)));
+    fold.offer(2, new LogRecord.Unreadable("format 2 is newer than 1"));
+    fold.offer(3, Samples.put("two", 1, Samples.workspace("w", 2)));
+    assertEquals(1, fold.state().revision());
+    assertEquals("record 2 cannot be read: format 2 is newer than 1", fold.obstacle());
+    ConfigState fellow = new ConfigState(3, fold.state().objects(), fold.state().recent());
+    assertTrue(fold.adopt(fellow), "a fellow that can read it helps");
+    assertEquals("", fold.obstacle());
+  }
+
+  @Test
+  void truncatedLogIsReadFromSnapshotAndTheRecordsAfterItsOffset() {
+    ConfigFold whole = ConfigFold.create();
+    whole.offer(1, Samples.put("one", 0, Samples.workspace("a", 1)));
+    final ConfigState early = whole.state();
+    final LogRecord second = Samples.put("two", 0, Samples.workspace("b", 1));
+    whole.offer(2, second);
+    whole.offer(3, new LogRecord.Snapshot(early));
+    assertEquals(2, whole.state().objects().size(), "a late snapshot undoes nothing");
+
+    fold.offer(2, second);
+    assertEquals("records from 1 to 1 are no longer on the log", fold.obstacle());
+    fold.offer(3, new LogRecord.Snapshot(early));
+    assertEquals("", fold.obstacle());
+    assertEquals(whole.state(), fold.state());
+  }
+
+  @Test
+  void snapshotThatIsTooOldForTruncatedLogIsNotUsed() {
+    ConfigFold whole = ConfigFold.create();
+    whole.offer(1, Samples.put("one", 0, Samples.workspace("a", 1)));
+    final ConfigState early = whole.state();
+    fold.offer(3, Samples.put("three", 0, Samples.workspace("c", 1)));
+    fold.offer(4, new LogRecord.Snapshot(early));
+    assertEquals(0, fold.state().revision(), "record 2 is missing");
+    assertFalse(fold.obstacle().isEmpty());
+  }
+
+  @Test
+  void laggingFellowNeverTurnsTheConfigurationBack() {
+    fold.offer(1, Samples.put("one", 0, Samples.workspace("w", 1)));
+    final ConfigState early = fold.state();
+    fold.offer(2, Samples.put("two", 1, Samples.workspace("w", 2)));
+    assertFalse(fold.adopt(early));
+    assertEquals(2, fold.state().revision());
+  }
+
+  @Test
+  void recordsThatWereSeenArePassedOver() {
+    fold.offer(1, Samples.put("one", 0, Samples.workspace("w", 1)));
+    assertEquals(
+        Optional.empty(), fold.offer(1, Samples.put("other", 0, Samples.workspace("x", 1))));
+    assertEquals(2, fold.nextOffset());
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/config/SnapshotScheduleTest.java
@@ -0,0 +1,33 @@
+package org.arbutusspar.core.config;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.arbutusspar.core.Nanos;
+import org.junit.jupiter.api.Test;
+
+class SnapshotScheduleTest {
+
+  private final SnapshotSchedule schedule = SnapshotSchedule.create(0);
+
+  @Test
+  void isNotDueWhileThereIsNoConfiguration() {
+    assertFalse(schedule.tryTake(0, 0, SnapshotSchedule.MAX_INTERVAL_NANOS));
+  }
+
+  @Test
+  void theFirstInRankGoesFirstAndDoesNotRepeatAtOnce() {
+    long due = SnapshotSchedule.MAX_INTERVAL_NANOS;
+    assertTrue(schedule.tryTake(5, 0, due));
+    assertFalse(schedule.tryTake(5, 0, due + 1));
+    assertTrue(schedule.tryTake(5, 0, due + Nanos.ofMillis(10_000)));
+  }
+
+  @Test
+  void othersWaitAndStandDownWhenSnapshotIsSeen() {
+    assertFalse(schedule.tryTake(SnapshotSchedule.MAX_RECORDS, 2, 0));
+    assertFalse(schedule.tryTake(SnapshotSchedule.MAX_RECORDS, 2, Nanos.ofMillis(9_000)));
+    schedule.onSeen(SnapshotSchedule.MAX_RECORDS, Nanos.ofMillis(9_500));
+    assertFalse(schedule.tryTake(SnapshotSchedule.MAX_RECORDS, 2, Nanos.ofMillis(20_000)));
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/member/MembershipTest.java
@@ -0,0 +1,211 @@
+package org.arbutusspar.core.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.id.Home;
+import org.arbutusspar.core.id.InstanceId;
+import org.arbutusspar.core.route.Endpoint;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+
+  private static final long HEARTBEAT = Nanos.ofMillis(500);
+
+  static MemberRecord record(int number, long incarnation) {
+    Endpoint endpoint = new Endpoint("127.0." + number / 250 + "." + (1 + number % 250), 7_000);
+    return new MemberRecord(
+        new Home(InstanceId.of("n" + number), incarnation),
+        incarnation,
+        endpoint,
+        new Endpoint(endpoint.host(), 7_001),
+        DataCentre.of("dc" + number % 3),
+        MemberStatus.LIVE,
+        1);
+  }
+
+  /** Instances whose links carry heartbeats in lock step; dead ones do not answer. */
+  private static final class Net {
+    private final List<Membership> members = new ArrayList<>();
+    private final List<Boolean> alive = new ArrayList<>();
+    private long now;
+    private long messages;
+    private long records;
+
+    private Net(int size) {
+      List<Endpoint> all = new ArrayList<>();
+      for (int i = 0; i < size; i++) {
+        all.add(record(i, 1).links());
+      }
+      for (int i = 0; i < size; i++) {
+        Membership member = Membership.create(record(i, 1));
+        member.onListed(all);
+        members.add(member);
+        alive.add(true);
+      }
+    }
+
+    private Membership at(Endpoint endpoint) {
+      for (int i = 0; i < members.size(); i++) {
+        if (members.get(i).self().links().equals(endpoint) && alive.get(i)) {
+          return members.get(i);
+        }
+      }
+      return null;
+    }
+
+    private void round() {
+      now += HEARTBEAT;
+      for (int i = 0; i < members.size(); i++) {
+        if (!alive.get(i)) {
+          continue;
+        }
+        Membership from = members.get(i);
+        from.onTick(now);
+        for (Endpoint endpoint : from.wanted()) {
+          exchange(from, endpoint);
+        }
+      }
+    }
+
+    private void exchange(Membership from, Endpoint endpoint) {
+      Membership to = at(endpoint);
+      if (to == null) {
+        from.onLinkFailed(endpoint, now);
+        return;
+      }
+      from.onLinkUp(to.self(), now);
+      List<MemberRecord> there = from.gossipFor(to.self().home());
+      to.onGossip(there, now);
+      List<MemberRecord> back = to.gossipFor(from.self().home());
+      from.onGossip(back, now);
+      messages += 2;
+      records += there.size() + back.size();
+    }
+
+    private int roundsUntil(int serving, int limit) {
+      for (int i = 1; i <= limit; i++) {
+        round();
+        boolean all = true;
+        for (int m = 0; m < members.size(); m++) {
+          all &= !alive.get(m) || members.get(m).serving().size() == serving;
+        }
+        if (all) {
+          return i;
+        }
+      }
+      throw new AssertionError("no agreement on " + serving + " after " + limit + " rounds");
+    }
+  }
+
+  @Test
+  void nineInstancesFindEachOtherAndNoticeDeath() {
+    Net net = new Net(9);
+    net.roundsUntil(9, 10);
+    net.alive.set(4, false);
+    int rounds = net.roundsUntil(8, 20);
+    assertTrue(rounds * 0.5 <= 5, "took " + rounds * 0.5 + " s");
+  }
+
+  @Test
+  void leavingInstanceIsNoLongerNamedButStillServing() {
+    Net net = new Net(5);
+    net.roundsUntil(5, 10);
+    net.members.get(2).leave();
+    net.round();
+    net.round();
+    AddressBook book = AddressBook.create(1);
+    for (int i = 0; i < 100; i++) {
+      AddressAnswer answer = book.answer(net.members.get(0).serving(), Optional.empty());
+      assertTrue(answer.instances().stream().noneMatch(m -> m.instance().value().equals("n2")));
+      assertTrue(answer.keepMillis() <= AddressBook.MAX_KEEP_MILLIS);
+    }
+  }
+
+  @Test
+  void frozenInstanceThatWakesIsLiveAgain() {
+    Net net = new Net(6);
+    net.roundsUntil(6, 10);
+    net.alive.set(3, false);
+    net.roundsUntil(5, 20);
+    net.alive.set(3, true);
+    net.roundsUntil(6, 20);
+  }
+
+  @Test
+  void laterIncarnationReplacesAnEarlierOne() {
+    Membership member = Membership.create(record(0, 1));
+    member.onLinkUp(record(1, 1), 0);
+    member.onLinkUp(record(1, 5), 1);
+    member.onGossip(List.of(record(1, 1)), 2);
+    assertEquals(
+        5, member.serving().get(1).home().incarnation(), "the earlier one does not come back");
+  }
+
+  @Test
+  void slowPeerIsSuspectedBeforeItIsDeclaredDead() {
+    Membership member = Membership.create(record(0, 1));
+    member.onLinkUp(record(1, 1), 0);
+    member.onLinkFailed(record(1, 1).links(), 0);
+    assertEquals(MemberStatus.SUSPECT, member.serving().get(1).status());
+    member.onTick(Membership.SUSPECT_NANOS);
+    assertEquals(1, member.serving().size());
+  }
+
+  @Test
+  void objectsToItsOwnSuspicion() {
+    Membership member = Membership.create(record(0, 1));
+    member.onGossip(List.of(record(0, 1).with(MemberStatus.DEAD, 4)), 0);
+    assertEquals(MemberStatus.LIVE, member.self().status());
+    assertEquals(5, member.self().version());
+  }
+
+  @Test
+  void manyInstancesAgreeWithBoundedLinksAndMessages() {
+    Net net = new Net(340);
+    net.roundsUntil(340, 60);
+    for (Membership each : net.members) {
+      assertTrue(each.wanted().size() <= Membership.MAX_FELLOWS);
+    }
+    net.messages = 0;
+    net.records = 0;
+    net.alive.set(100, false);
+    int rounds = net.roundsUntil(339, 60);
+    double perNodeAndSecond = net.messages / 340.0 / (rounds * 0.5);
+    System.out.printf(
+        "340 instances: death known everywhere after %.1f s, %.1f messages a node and second, "
+            + "%.1f records a message%n",
+        rounds * 0.5, perNodeAndSecond, net.records / (double) net.messages);
+    assertTrue(perNodeAndSecond <= 4 * Membership.MAX_FELLOWS + 1);
+    assertFalse(rounds * 0.5 > 15, "took " + rounds * 0.5 + " s");
+  }
+
+  @Test
+  void addressesFavourTheCallersDataCentreAndIdleInstances() {
+    List<MemberRecord> members = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      members.add(record(i, 1));
+    }
+    AddressBook book = AddressBook.create(3);
+    book.onLoad(record(0, 1).home(), 900);
+    book.onLoad(record(3, 1).home(), 0);
+    int busy = 0;
+    int idle = 0;
+    int local = 0;
+    for (int i = 0; i < 1_000; i++) {
+      MemberRecord first =
+          book.answer(members, Optional.of(DataCentre.of("dc0"))).instances().get(0);
+      busy += first.instance().value().equals("n0") ? 1 : 0;
+      idle += first.instance().value().equals("n3") ? 1 : 0;
+      local += first.dataCentre().value().equals("dc0") ? 1 : 0;
+    }
+    assertTrue(idle > 20 * Math.max(1, busy), "idle " + idle + ", busy " + busy);
+    assertTrue(local > 500, "local " + local);
+  }
+}
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/AddressCache.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/AddressCache.java
@@ -44,8 +44,10 @@
       return CompletableFuture.completedFuture(addresses);
     }
     if (pending == null) {
-      pending = ask(0);
-      pending.whenComplete((list, failure) -> clearPending());
+      CompletableFuture<List<CallerAddress>> asked = ask(0);
+      pending = asked;
+      asked.whenComplete((list, failure) -> clearPending());
+      return asked;
     }
     return pending;
   }
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
@@ -26,7 +26,7 @@
   /** Runs one command and returns its exit code. */
   static int run(String... args) {
     try {
-      Object command = cli().parse(args);
+      Object command = cli().parse(args.length == 0 ? new String[] {"help"} : args);
       if (command instanceof CtlCommand known) {
         return known.run().code();
       }
@@ -51,7 +51,6 @@
     CliBuilder<Object> builder = Cli.builder("arbutusctl");
     builder
         .withDescription("Operates arbutusspar deployments")
-        .withDefaultCommand(Help.class)
         .withCommands(
             ValidateCommand.class,
             ApplyCommand.class,
--- /dev/null
+++ b/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/CtlMainTest.java
@@ -0,0 +1,96 @@
+package org.arbutusspar.ctl;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.platform.Listing;
+import org.arbutusspar.standins.PlatformStandin;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class CtlMainTest {
+
+  private static final Path EXAMPLES = Path.of("..", "examples");
+
+  @TempDir private Path folder;
+
+  private String printed = "";
+
+  private int run(String... args) {
+    PrintStream before = System.out;
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+    try {
+      return CtlMain.run(args);
+    } finally {
+      System.setOut(before);
+      printed = out.toString(StandardCharsets.UTF_8);
+    }
+  }
+
+  private static Endpoint free() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return new Endpoint("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  @Test
+  void examplesAreValid() {
+    for (String each : new String[] {"cojulun", "trentvale"}) {
+      assertEquals(0, run("validate", EXAMPLES.resolve(each).resolve("config").toString()));
+      assertEquals("16 objects, no mistakes\n", printed);
+    }
+  }
+
+  @Test
+  void mistakesExitWithTwoAndPublishNothing() throws IOException {
+    Files.writeString(folder.resolve("a.yaml"), "pipelines: 7\n");
+    assertEquals(2, run("validate", folder.toString()));
+    assertEquals("a.yaml:1: pipelines: must be a mapping, not a value\n1 mistakes\n", printed);
+    assertEquals(2, run("apply", "--log", "http://127.0.0.1:1", folder.toString()));
+    assertEquals(2, run("no-such-command"));
+    assertEquals(2, run("call", "--instances", "127.0.0.1:1", "--key", "k", "text"));
+  }
+
+  @Test
+  void unreachableLogExitsWithThree() {
+    String config = EXAMPLES.resolve("cojulun").resolve("config").toString();
+    assertEquals(3, run("apply", "--log", "http://127.0.0.1:1", config));
+  }
+
+  @Test
+  void appliesShowsAndDiffsThroughLogThatLosesAnswers() throws IOException {
+    Endpoint endpoint = free();
+    String log = "http://" + endpoint;
+    String config = EXAMPLES.resolve("trentvale").resolve("config").toString();
+    try (PlatformStandin platform = PlatformStandin.start(endpoint, Listing.EMPTY)) {
+      assertEquals(0, run("diff", "--log", log, config));
+      assertTrue(printed.endsWith("16 objects differ\n"), printed);
+      post(log + "/admin/fault?logLosesAnswers=true");
+      assertEquals(0, run("apply", "--log", log, config));
+      assertTrue(printed.startsWith("revision 1: 16 objects changed"), printed);
+      assertEquals(0, run("apply", "--log", log, config));
+      assertEquals("nothing to change\n", printed);
+      assertEquals(0, run("show", "--log", log));
+      assertTrue(printed.contains("service/swap-model"), printed);
+      assertEquals(0, run("show", "--json", "--log", log));
+    }
+  }
+
+  private static void post(String url) throws IOException {
+    HttpURLConnection connection = (HttpURLConnection) URI.create(url).toURL().openConnection();
+    connection.setRequestMethod("POST");
+    assertEquals(200, connection.getResponseCode());
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/HelpTest.java
@@ -0,0 +1,33 @@
+package org.arbutusspar.ctl;
+
+import com.github.rvesse.airline.help.Help;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+class HelpTest {
+
+  private static String help(List<String> command) throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    Help.help(CtlMain.cli().getMetadata(), command, out);
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void listsAllCommands() throws IOException {
+    Approvals.verify(help(List.of()));
+  }
+
+  @Test
+  void explainsEveryOptionOfLoad() throws IOException {
+    Approvals.verify(help(List.of("load")));
+  }
+
+  @Test
+  void explainsApply() throws IOException {
+    Approvals.verify(help(List.of("apply")));
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/BadRequestException.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/BadRequestException.java
@@ -31,6 +31,8 @@
   void answer(Exchange exchange) {
     ObjectNode node = Mappers.json().createObjectNode();
     node.put("outcome", "not_run").put("reason", "bad_request").put("error", getMessage());
-    exchange.reply(status, Map.of(), node.toString());
+    Map<String, String> headers =
+        status == UNAUTHORIZED ? Map.of("WWW-Authenticate", "Bearer") : Map.of();
+    exchange.reply(status, headers, node.toString());
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/DaemonSettings.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/DaemonSettings.java
@@ -80,15 +80,15 @@
   public static DaemonSettings parse(Map<String, String> flags, Map<String, String> environment)
       throws SettingsException {
     Reader reader = new Reader(flags, environment);
-    InstanceId instance = reader.read("instance", InstanceId::of);
-    DataCentre dataCentre = reader.read("data-centre", DataCentre::of);
+    final InstanceId instance = reader.read("instance", InstanceId::of);
+    final DataCentre dataCentre = reader.read("data-centre", DataCentre::of);
     Endpoint callers = reader.read("listen", Endpoint::parse);
     Endpoint links = reader.read("links", Endpoint::parse);
-    URI log = reader.read("log-url", DaemonSettings::url);
-    URI list = reader.read("list-url", DaemonSettings::url);
-    LinkSecret secret = reader.read("secret", LinkSecret::of);
-    String key = reader.read("operator-key-sha256", DaemonSettings::hash);
-    Long leave = reader.readOr("leave-ms", DaemonSettings::leaveMillis, DEFAULT_LEAVE_MILLIS);
+    final URI log = reader.read("log-url", DaemonSettings::url);
+    final URI list = reader.read("list-url", DaemonSettings::url);
+    final LinkSecret secret = reader.read("secret", LinkSecret::of);
+    final String key = reader.read("operator-key-sha256", DaemonSettings::hash);
+    final Long leave = reader.readOr("leave-ms", DaemonSettings::leaveMillis, DEFAULT_LEAVE_MILLIS);
     reader.reportUnknownVariables();
     if (callers != null && callers.equals(links)) {
       reader.problems.add("--links: must differ from --listen");
--- /dev/null
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/DaemonSettingsTest.java
@@ -0,0 +1,59 @@
+package org.arbutusspar.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+class DaemonSettingsTest {
+
+  private static Map<String, String> complete() {
+    Map<String, String> flags = new HashMap<>();
+    flags.put("instance", "entry-1");
+    flags.put("data-centre", "antigua");
+    flags.put("listen", "127.0.0.1:7100");
+    flags.put("links", "127.0.0.1:7200");
+    flags.put("log-url", "http://127.0.0.1:7000");
+    flags.put("list-url", "http://127.0.0.1:7000");
+    flags.put("secret", "0123456789abcdef");
+    flags.put("operator-key-sha256", "0".repeat(64));
+    return flags;
+  }
+
+  @Test
+  void flagWinsOverVariable() throws SettingsException {
+    Map<String, String> environment =
+        Map.of("ARBUTUSSPAR_INSTANCE", "other", "ARBUTUSSPAR_LEAVE_MS", "10", "PATH", "/bin");
+    DaemonSettings settings = DaemonSettings.parse(complete(), environment);
+    assertEquals("entry-1", settings.instance().value());
+    assertEquals(10, settings.leaveMillis());
+  }
+
+  @Test
+  void allMistakesAreReportedAtOnce() {
+    Map<String, String> flags = complete();
+    flags.put("listen", "somewhere");
+    flags.put("links", "127.0.0.1:99999");
+    flags.put("log-url", "ftp://x");
+    flags.remove("data-centre");
+    flags.put("leave-ms", "soon");
+    Map<String, String> environment =
+        Map.of("ARBUTUSSPAR_SECRET", "unused", "ARBUTUSSPAR_COLOUR", "red");
+    flags.put("secret", "short");
+    SettingsException e =
+        assertThrows(SettingsException.class, () -> DaemonSettings.parse(flags, environment));
+    Approvals.verify(String.join("\n", e.problems()));
+  }
+
+  @Test
+  void linksNeedAnotherEndpointThanCallers() {
+    Map<String, String> flags = complete();
+    flags.put("links", flags.get("listen"));
+    SettingsException e =
+        assertThrows(SettingsException.class, () -> DaemonSettings.parse(flags, Map.of()));
+    assertEquals(1, e.problems().size());
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/FailureTest.java
@@ -0,0 +1,121 @@
+package org.arbutusspar.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusspar.io.http.HttpReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Failures of instances, the platform and upstreams, over real sockets. */
+class FailureTest {
+
+  private TestDeployment deployment;
+
+  @BeforeEach
+  void start() throws IOException {
+    deployment = TestDeployment.start(2, false);
+  }
+
+  @AfterEach
+  void stop() {
+    deployment.close();
+  }
+
+  private String outcome(HttpReply reply) {
+    return TestDeployment.json(reply).path("outcome").asText();
+  }
+
+  @Test
+  void gracefulShutdownCutsNoRequest() {
+    List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+    CompletableFuture<Void> drained =
+        CompletableFuture.runAsync(() -> deployment.daemons.get(0).drain());
+    for (int i = 0; i < 100; i++) {
+      replies.add(deployment.http.call("test", deployment.question(0, "question " + i)));
+      TestDeployment.sleep(8);
+    }
+    drained.join();
+    for (CompletableFuture<HttpReply> each : replies) {
+      assertEquals("answered", outcome(each.join()), each.join().body());
+    }
+    JsonNode status = deployment.status(1);
+    TestDeployment.await(() -> deployment.status(1).path("members").size() == 1);
+    assertEquals("", status.path("notReady").asText());
+  }
+
+  @Test
+  void requestOfDeadHomeIsNeverRunAgain() {
+    String id = deployment.newId(0);
+    assertEquals("answered", outcome(deployment.call(deployment.once(0, id, "{}"))));
+    deployment.daemons.get(0).close();
+    HttpReply retry = deployment.call(deployment.once(1, id, "{}"));
+    assertEquals("unknown", outcome(retry), retry.body());
+    assertEquals(1, deployment.runs(id));
+    EntryDaemon next = deployment.startDaemon(0);
+    deployment.daemons.set(0, next);
+    TestDeployment.await(() -> deployment.status(0).path("revision").asLong() >= 1);
+    HttpReply atNext = deployment.call(deployment.once(0, id, "{}"));
+    assertEquals("unknown", outcome(atNext), atNext.body());
+    assertEquals(1, deployment.runs(id));
+  }
+
+  @Test
+  void cutAnswerOfPlainServiceIsUnknownAndNotRepeated() {
+    deployment.replicaFault("plain-0", "cutEvery=1");
+    deployment.replicaFault("plain-1", "cutEvery=1");
+    String id = deployment.newId(0);
+    assertEquals("unknown", outcome(deployment.call(deployment.once(0, id, "{}"))));
+    assertEquals("unknown", outcome(deployment.call(deployment.once(1, id, "{}"))));
+    assertEquals(1, deployment.runs(id));
+  }
+
+  @Test
+  void cutStreamsAreTriedAgainAndAnsweredWhole() {
+    deployment.replicaFault("gen-0", "cutEvery=2");
+    for (int i = 0; i < 8; i++) {
+      HttpReply reply = deployment.call(deployment.question(0, "question " + i));
+      assertEquals("answered", outcome(reply), reply.body());
+    }
+  }
+
+  @Test
+  void instanceBootsFromItsFellowsWhileTheLogIsDown() {
+    deployment.daemons.get(0).close();
+    deployment.fault("log=down");
+    deployment.daemons.set(0, deployment.startDaemon(0));
+    TestDeployment.await(() -> deployment.status(0).path("revision").asLong() >= 1);
+    TestDeployment.await(
+        () -> outcome(deployment.call(deployment.question(0, "x"))).equals("answered"));
+  }
+
+  @Test
+  void instanceThatReachesNeitherLogNorFellowsSaysSo() {
+    deployment.daemons.get(0).close();
+    deployment.daemons.get(1).close();
+    deployment.fault("log=down");
+    deployment.daemons.set(0, deployment.startDaemon(0));
+    TestDeployment.await(
+        () -> deployment.status(0).path("notReady").asText().startsWith("configuration"));
+  }
+
+  @Test
+  void leavingReplicaGetsNoNewWorkThoughTheListIsDown() {
+    deployment.fault("list=down");
+    deployment.replicaFault("plain-0", "leaving=true");
+    TestDeployment.sleep(3_500);
+    for (int i = 0; i < 20; i++) {
+      String id = deployment.newId(0);
+      assertEquals("answered", outcome(deployment.call(deployment.once(0, id, "{}"))));
+    }
+    JsonNode status = deployment.status(0);
+    assertTrue(
+        status.toString().contains("\"plain-0\",\"dataCentre\":\"here\",\"state\":\"leaving\""));
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/TestDeployment.java
@@ -0,0 +1,300 @@
+package org.arbutusspar.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import org.arbutusspar.core.config.ChangeId;
+import org.arbutusspar.core.config.ConfigObject;
+import org.arbutusspar.core.config.CostPrior;
+import org.arbutusspar.core.config.LogRecord;
+import org.arbutusspar.core.config.ObjectEdit;
+import org.arbutusspar.core.config.Pipeline;
+import org.arbutusspar.core.config.Service;
+import org.arbutusspar.core.config.Stage;
+import org.arbutusspar.core.config.StageKind;
+import org.arbutusspar.core.config.Workspace;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.id.InstanceId;
+import org.arbutusspar.core.id.ObjectName;
+import org.arbutusspar.core.id.ReplicaId;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.core.route.ListedReplica;
+import org.arbutusspar.io.codec.LogRecordCodec;
+import org.arbutusspar.io.codec.Mappers;
+import org.arbutusspar.io.codec.Sha256;
+import org.arbutusspar.io.http.HttpCall;
+import org.arbutusspar.io.http.HttpCaller;
+import org.arbutusspar.io.http.HttpReply;
+import org.arbutusspar.io.link.LinkSecret;
+import org.arbutusspar.io.platform.Listing;
+import org.arbutusspar.standins.PlatformStandin;
+import org.arbutusspar.standins.ReplicaKind;
+import org.arbutusspar.standins.UpstreamStandin;
+
+/** A small deployment in one process, over real sockets on loopback. */
+final class TestDeployment implements AutoCloseable {
+
+  static final String OPERATOR_KEY = "operator-key";
+
+  private static final DataCentre HERE = DataCentre.of("here");
+  private static final int REPLICAS = 2;
+  private static final Map<String, ReplicaKind> KINDS =
+      Map.of(
+          "enc", ReplicaKind.ENCODE,
+          "ret", ReplicaKind.RETRIEVE,
+          "gen", ReplicaKind.GENERATE,
+          "plain", ReplicaKind.PLAIN);
+
+  final HttpCaller http = HttpCaller.start("test", "", 8);
+  final List<Listing.ListedInstance> instances = new ArrayList<>();
+  final List<ListedReplica> replicas = new ArrayList<>();
+  final List<EntryDaemon> daemons = new ArrayList<>();
+  final Endpoint platformEndpoint;
+  final PlatformStandin platform;
+  final UpstreamStandin upstream;
+
+  private TestDeployment(int count, boolean instant) throws IOException {
+    for (int i = 0; i < count; i++) {
+      instances.add(
+          new Listing.ListedInstance(
+              InstanceId.of("entry-" + i), free("127.0.0.1"), free("127.0.0.1"), HERE));
+    }
+    for (String service : KINDS.keySet().stream().sorted().toList()) {
+      for (int i = 0; i < REPLICAS; i++) {
+        replicas.add(
+            new ListedReplica(
+                ReplicaId.of(service + "-" + i),
+                ObjectName.of(service),
+                free("127.0.0.1"),
+                HERE,
+                false));
+      }
+    }
+    platformEndpoint = free("127.0.0.1");
+    platform = PlatformStandin.start(platformEndpoint, new Listing(instances, replicas));
+    upstream =
+        UpstreamStandin.start(new UpstreamStandin.Options(replicas, KINDS, (a, b) -> 0, instant));
+  }
+
+  /** Starts a deployment that is configured and ready. */
+  static TestDeployment start(int count) throws IOException {
+    return start(count, true);
+  }
+
+  static TestDeployment start(int count, boolean instant) throws IOException {
+    TestDeployment deployment = new TestDeployment(count, instant);
+    for (int i = 0; i < count; i++) {
+      deployment.daemons.add(deployment.startDaemon(i));
+    }
+    deployment.append(deployment.change(objects()));
+    for (int i = 0; i < count; i++) {
+      int number = i;
+      await(() -> deployment.isComplete(number, count));
+    }
+    return deployment;
+  }
+
+  private boolean isComplete(int i, int count) {
+    JsonNode status = status(i);
+    boolean heard =
+        status.path("services").size() == KINDS.size() && !status.toString().contains("not heard");
+    return heard
+        && status.path("revision").asLong() >= 1
+        && status.path("members").size() == count
+        && status.path("links").asInt() == count - 1;
+  }
+
+  EntryDaemon startDaemon(int i) {
+    Listing.ListedInstance instance = instances.get(i);
+    URI platformUri = URI.create("http://" + platformEndpoint);
+    return EntryDaemon.start(
+        new DaemonSettings(
+            instance.id(),
+            HERE,
+            instance.callers(),
+            instance.links(),
+            platformUri,
+            platformUri,
+            LinkSecret.of("a-secret-of-sixteen-bytes"),
+            Sha256.hex(OPERATOR_KEY),
+            1_000));
+  }
+
+  private static Endpoint free(String host) throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+      return new Endpoint(host, socket.getLocalPort());
+    }
+  }
+
+  private static Service service(String name, StageKind kind) {
+    boolean plain = kind == StageKind.PLAIN;
+    return new Service(
+        ObjectName.of(name),
+        kind,
+        plain ? "" : "m",
+        plain ? "/run" : "",
+        16,
+        new CostPrior(5, 0, 1),
+        false,
+        true,
+        kind == StageKind.RETRIEVE ? 10 : 0);
+  }
+
+  static List<ConfigObject> objects() {
+    return List.of(
+        service("enc", StageKind.ENCODE),
+        service("ret", StageKind.RETRIEVE),
+        service("gen", StageKind.GENERATE),
+        service("plain", StageKind.PLAIN),
+        new Pipeline(
+            ObjectName.of("chat"),
+            3_000,
+            List.of(
+                new Stage(StageKind.ENCODE, ObjectName.of("enc"), 0),
+                new Stage(StageKind.RETRIEVE, ObjectName.of("ret"), 3),
+                new Stage(StageKind.GENERATE, ObjectName.of("gen"), 0))),
+        workspace("one"),
+        workspace("two"));
+  }
+
+  static Workspace workspace(String name) {
+    return new Workspace(ObjectName.of(name), Sha256.hex("key-" + name), 1);
+  }
+
+  /** Returns the text of a change that creates objects. */
+  String change(List<ConfigObject> objects) {
+    return LogRecordCodec.encode(
+        new LogRecord.Change(
+            new ChangeId(UUID.randomUUID().toString()),
+            "test",
+            objects.stream().map(o -> new ObjectEdit(o.key(), 0, Optional.of(o))).toList()));
+  }
+
+  void append(String record) {
+    call(HttpCall.post(platformUri("/v1/append"), record, 2_000));
+  }
+
+  URI platformUri(String path) {
+    return URI.create("http://" + platformEndpoint + path);
+  }
+
+  void fault(String query) {
+    call(HttpCall.post(platformUri("/admin/fault?" + query), "", 2_000));
+  }
+
+  void replicaFault(String replica, String query) {
+    URI uri =
+        URI.create(
+            "http://"
+                + replicas.get(0).endpoint()
+                + "/admin/fault?replica="
+                + replica
+                + "&"
+                + query);
+    call(HttpCall.post(uri, "", 2_000));
+  }
+
+  URI uri(int instance, String path) {
+    return URI.create("http://" + instances.get(instance).callers() + path);
+  }
+
+  HttpReply call(HttpCall call) {
+    return http.call("test", call).join();
+  }
+
+  JsonNode status(int instance) {
+    HttpCall call =
+        HttpCall.get(uri(instance, "/ops/v1/status"), 2_000)
+            .with("Authorization", "Bearer " + OPERATOR_KEY);
+    return json(call(call));
+  }
+
+  static JsonNode json(HttpReply reply) {
+    try {
+      return Mappers.json().readTree(reply.body());
+    } catch (IOException e) {
+      throw new AssertionError("not JSON: " + reply.body(), e);
+    }
+  }
+
+  /** Returns a fresh identifier whose home is an instance. */
+  String newId(int instance) {
+    JsonNode answer = json(call(HttpCall.get(uri(instance, "/v1/addresses"), 2_000)));
+    for (JsonNode each : answer.path("addresses")) {
+      if (each.path("endpoint").asText().equals(instances.get(instance).callers().toString())) {
+        return each.path("prefix").asText() + "." + UUID.randomUUID();
+      }
+    }
+    throw new AssertionError("instance is not named: " + answer);
+  }
+
+  /** Returns a call of the plain service that may not be repeated. */
+  HttpCall once(int instance, String id, String body) {
+    return HttpCall.post(uri(instance, "/v1/services/plain"), body, 5_000)
+        .with("Authorization", "Bearer key-one")
+        .with("Arbutus-Request-Id", id)
+        .with("Arbutus-Deadline-Ms", "2000");
+  }
+
+  HttpCall question(int instance, String text) {
+    return HttpCall.post(
+            uri(instance, "/v1/pipelines/chat"),
+            "{\"question\":\"" + text + "\",\"maxTokens\":8}",
+            5_000)
+        .with("Authorization", "Bearer key-one");
+  }
+
+  HttpCall ask(int instance, String id, String key) {
+    return HttpCall.get(uri(instance, "/v1/requests/" + id + "?kind=service"), 5_000)
+        .with("Authorization", "Bearer " + key);
+  }
+
+  /** Returns how often a request of workspace one was run. */
+  int runs(String id) {
+    URI uri = URI.create("http://" + replicas.get(0).endpoint() + "/admin/ledger");
+    return call(HttpCall.get(uri, 2_000))
+        .body()
+        .lines()
+        .filter(line -> line.endsWith(" one/" + id))
+        .mapToInt(line -> Integer.parseInt(line.substring(0, line.indexOf(' '))))
+        .sum();
+  }
+
+  static void await(Condition condition) {
+    long end = System.nanoTime() + 15_000_000_000L;
+    while (!condition.holds()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("condition does not hold after 15 s");
+      }
+      sleep(20);
+    }
+  }
+
+  static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    daemons.forEach(EntryDaemon::close);
+    upstream.close();
+    platform.close();
+    http.close();
+  }
+
+  /** Something that is waited for. */
+  interface Condition {
+    boolean holds();
+  }
+}
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/codec/Mappers.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/codec/Mappers.java
@@ -1,5 +1,6 @@
 package org.arbutusspar.io.codec;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -23,11 +24,13 @@
 import org.arbutusspar.core.config.Service;
 import org.arbutusspar.core.config.Workspace;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.id.Home;
 import org.arbutusspar.core.id.InstanceId;
 import org.arbutusspar.core.id.ObjectName;
 import org.arbutusspar.core.id.ReplicaId;
 import org.arbutusspar.core.id.RequestId;
 import org.arbutusspar.core.id.WorkspaceId;
+import org.arbutusspar.core.member.MemberRecord;
 import org.arbutusspar.core.request.Outcome;
 import org.arbutusspar.core.route.Endpoint;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -39,7 +42,7 @@
   private static final int MAX_TEXT_CHARS = 8_000_000;
 
   private static final ObjectMapper JSON = newJson();
-  private static final ObjectMapper MESSAGE_PACK = configure(new ObjectMapper(newMessagePack()));
+  private static final ObjectMapper MESSAGE_PACK = newBinary();
 
   private Mappers() {}
 
@@ -60,6 +63,13 @@
     return configure(mapper);
   }
 
+  private static ObjectMapper newBinary() {
+    ObjectMapper mapper = configure(new ObjectMapper(newMessagePack()));
+    mapper.addMixIn(MemberRecord.class, WithoutFieldNames.class);
+    mapper.addMixIn(Home.class, WithoutFieldNames.class);
+    return mapper;
+  }
+
   private static MessagePackFactory newMessagePack() {
     MessagePackFactory factory = new MessagePackFactory();
     factory.setStreamReadConstraints(constraints());
@@ -113,6 +123,10 @@
         });
   }
 
+  /** Keeps frequent records small on links. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private interface WithoutFieldNames {}
+
   @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
   @JsonSubTypes({
     @JsonSubTypes.Type(value = Pipeline.class, name = "pipeline"),
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/config/Fields.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/config/Fields.java
@@ -13,20 +13,33 @@
   private final YamlValue.Mapping mapping;
   private final String path;
   private final List<ConfigProblem> problems;
+  private final boolean present;
 
-  private Fields(YamlValue.Mapping mapping, String path, List<ConfigProblem> problems) {
+  private Fields(
+      YamlValue.Mapping mapping, String path, List<ConfigProblem> problems, boolean present) {
     this.mapping = mapping;
     this.path = path;
     this.problems = problems;
+    this.present = present;
+  }
+
+  /** Returns fields in place of a mapping that is not there; nothing more is reported on them. */
+  private static Fields absent(YamlValue.Place place, String path, List<ConfigProblem> problems) {
+    return new Fields(new YamlValue.Mapping(place, Map.of()), path, problems, false);
+  }
+
+  /** Returns whether the fields are those of a mapping. */
+  boolean isPresent() {
+    return present;
   }
 
   /** Returns the fields of a value; a value that is no mapping is reported and has no fields. */
   static Fields of(YamlValue value, String path, List<ConfigProblem> problems) {
     if (value instanceof YamlValue.Mapping mapping) {
-      return new Fields(mapping, path, problems);
+      return new Fields(mapping, path, problems, true);
     }
     add(problems, value.place(), path, "must be a mapping, not a " + value.typeName());
-    return new Fields(new YamlValue.Mapping(value.place(), Map.of()), path, problems);
+    return absent(value.place(), path, problems);
   }
 
   /** Reports every key that is not among the known ones. */
@@ -60,7 +73,7 @@
     Optional<YamlValue> value = value(key);
     if (value.isEmpty()) {
       missing(key);
-      return new Fields(new YamlValue.Mapping(mapping.place(), Map.of()), child(key), problems);
+      return absent(mapping.place(), child(key), problems);
     }
     return of(value.get(), child(key), problems);
   }
@@ -92,14 +105,15 @@
   }
 
   long integer(String key, long min, long max) {
-    return scalar(key, min, "a whole number from " + min + " to " + max, t -> inRange(t, min, max));
+    return scalar(
+        key, min, "a whole number from " + min + " to " + max, t -> wholeInRange(t, min, max));
   }
 
   long integer(String key, long min, long max, long fallback) {
     return value(key).isEmpty() ? fallback : integer(key, min, max);
   }
 
-  private static Long inRange(String text, long min, long max) {
+  private static Long wholeInRange(String text, long min, long max) {
     long number = Long.parseLong(text);
     if (number < min || number > max) {
       throw new NumberFormatException("out of range");
@@ -109,10 +123,10 @@
 
   double decimal(String key, double min, double max) {
     String expected = String.format(Locale.ROOT, "a number from %s to %s", plain(min), plain(max));
-    return scalar(key, min, expected, t -> inRange(t, min, max));
+    return scalar(key, min, expected, t -> numberInRange(t, min, max));
   }
 
-  private static Double inRange(String text, double min, double max) {
+  private static Double numberInRange(String text, double min, double max) {
     double number = Double.parseDouble(text);
     if (!(number >= min && number <= max)) {
       throw new NumberFormatException("out of range");
@@ -196,7 +210,9 @@
   }
 
   private void missing(String key) {
-    add(problems, mapping.place(), child(key), "is missing");
+    if (present) {
+      add(problems, mapping.place(), child(key), "is missing");
+    }
   }
 
   private static void add(
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/config/FolderChecker.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/config/FolderChecker.java
@@ -71,7 +71,9 @@
     for (Map.Entry<String, YamlValue.Entry> entry : all.entries().entrySet()) {
       Fields fields = Fields.of(entry.getValue().value(), all.child(entry.getKey()), problems);
       Optional<ObjectName> name = build(fields, f -> ObjectName.of(entry.getKey()));
-      name.ifPresent(n -> check.check(n, fields));
+      if (fields.isPresent()) {
+        name.ifPresent(n -> check.check(n, fields));
+      }
     }
   }
 
@@ -97,7 +99,10 @@
 
   private void service(ObjectName name, Fields fields) {
     fields.only(SERVICE);
-    StageKind kind = fields.choice("kind", StageKind.class, StageKind.PLAIN);
+    StageKind kind = fields.choice("kind", StageKind.class, null);
+    if (kind == null) {
+      return;
+    }
     serviceKinds.put(name, kind);
     boolean plain = kind == StageKind.PLAIN;
     String model = plain ? fields.text("model", "") : fields.text("model");
@@ -145,10 +150,10 @@
 
   private Optional<Stage> stage(Fields fields) {
     fields.only(Set.of("kind", "service", "limit"));
-    StageKind kind = fields.choice("kind", StageKind.class, StageKind.PLAIN);
+    StageKind kind = fields.choice("kind", StageKind.class, null);
     String service = fields.text("service");
     int limit = (int) fields.integer("limit", 0, Stage.MAX_LIMIT, 0);
-    if (service.isEmpty()) {
+    if (service.isEmpty() || kind == null) {
       return Optional.empty();
     }
     Optional<ObjectName> name = build(fields, f -> ObjectName.of(service));
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/Exchange.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/Exchange.java
@@ -115,8 +115,8 @@
   /** Ends the exchange by closing the connection without an answer. */
   public void abort() {
     if (answered.compareAndSet(false, true)) {
-      callback.failed(new IOException("aborted"));
       request.getConnectionMetaData().getConnection().getEndPoint().close();
+      callback.failed(new IOException("aborted"));
     }
   }
 
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/HttpCaller.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/HttpCaller.java
@@ -70,6 +70,7 @@
       throw new StepException("start", name, "HTTP client did not start", e);
     }
     client.getContentDecoderFactories().clear();
+    client.getProtocolHandlers().clear();
     return new HttpCaller(client);
   }
 
--- /dev/null
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/LinksTest.java
@@ -0,0 +1,182 @@
+package org.arbutusspar.io.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.id.Home;
+import org.arbutusspar.core.id.InstanceId;
+import org.arbutusspar.core.member.MemberRecord;
+import org.arbutusspar.core.member.MemberStatus;
+import org.arbutusspar.core.route.Endpoint;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class LinksTest {
+
+  private static final LinkSecret SECRET = LinkSecret.of("a-secret-of-sixteen-bytes");
+  private static final long WAIT_SECONDS = 5;
+
+  private final List<AutoCloseable> open = new ArrayList<>();
+
+  @AfterEach
+  void closeAll() throws Exception {
+    for (AutoCloseable each : open) {
+      each.close();
+    }
+  }
+
+  /** Records what happens on the links of one instance. */
+  private static final class Recorder implements LinkHandler {
+    private final MemberRecord self;
+    private final BlockingQueue<Link> up = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Link> down = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> failed = new LinkedBlockingQueue<>();
+    private final BlockingQueue<LinkMessage> messages = new LinkedBlockingQueue<>();
+
+    private Recorder(MemberRecord self) {
+      this.self = self;
+    }
+
+    @Override
+    public MemberRecord self() {
+      return self;
+    }
+
+    @Override
+    public void onUp(Link link) {
+      up.add(link);
+    }
+
+    @Override
+    public void onDown(Link link) {
+      down.add(link);
+    }
+
+    @Override
+    public void onFailed(Endpoint endpoint, String reason) {
+      failed.add(reason);
+    }
+
+    @Override
+    public void onMessage(Link link, LinkMessage message) {
+      messages.add(message);
+      if (message instanceof LinkMessage.ConfigPull pull) {
+        link.send(new LinkMessage.ConfigPull(pull.revision() + 1));
+      }
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private Recorder start(String name, LinkSecret secret) throws IOException {
+    Endpoint endpoint = new Endpoint("127.0.0.1", freePort());
+    Recorder recorder =
+        new Recorder(
+            new MemberRecord(
+                new Home(InstanceId.of(name), 7),
+                1,
+                endpoint,
+                endpoint,
+                DataCentre.of("dc"),
+                MemberStatus.LIVE,
+                1));
+    Links links = Links.start(endpoint, secret, recorder);
+    open.add(links);
+    linksOf.add(links);
+    return recorder;
+  }
+
+  private final List<Links> linksOf = new ArrayList<>();
+
+  @Test
+  void messagesGoBothWaysBetweenInstancesThatShareTheSecret() throws Exception {
+    Recorder a = start("a", SECRET);
+    Recorder b = start("b", SECRET);
+    linksOf.get(0).want(List.of(b.self.links()));
+    Link link = a.up.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertEquals(b.self, link.peer());
+    link.send(new LinkMessage.ConfigPull(41));
+    assertEquals(new LinkMessage.ConfigPull(41), b.messages.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+    assertEquals(new LinkMessage.ConfigPull(42), a.messages.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void strangerWithoutTheSecretIsNotLinked() throws Exception {
+    Recorder a = start("a", LinkSecret.of("another-secret-of-sixteen"));
+    Recorder b = start("b", SECRET);
+    linksOf.get(0).want(List.of(b.self.links()));
+    assertNotNull(a.failed.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+    assertNull(a.up.poll());
+    assertTrue(b.messages.isEmpty());
+  }
+
+  @Test
+  void malformedFramesCostNobodyElse() throws Exception {
+    Recorder a = start("a", SECRET);
+    Recorder b = start("b", SECRET);
+    for (int length : new int[] {-1, 0, Integer.MAX_VALUE, 5_000, 3}) {
+      try (Socket socket = new Socket("127.0.0.1", b.self.links().port())) {
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        out.writeInt(length);
+        out.write(new byte[] {1, 2, 3});
+        out.flush();
+        socket.setSoTimeout(5_000);
+        assertEquals(-1, socket.getInputStream().read(), "the link must be closed");
+      }
+    }
+    linksOf.get(0).want(List.of(b.self.links()));
+    assertNotNull(a.up.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void silentLinkIsClosedWithinItsBoundAndOpenedAgain() throws Exception {
+    Recorder a = start("a", SECRET);
+    Recorder b = start("b", SECRET);
+    linksOf.get(0).want(List.of(b.self.links()));
+    assertNotNull(a.up.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+    long start = System.nanoTime();
+    assertNotNull(a.down.poll(WAIT_SECONDS, TimeUnit.SECONDS), "nothing was said on the link");
+    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+    assertTrue(millis <= Link.SILENCE_MILLIS + 500, "took " + millis + " ms");
+    assertNotNull(a.up.poll(WAIT_SECONDS, TimeUnit.SECONDS), "a new link is opened");
+    assertTrue(a.failed.isEmpty(), "the fellow is not condemned");
+  }
+
+  @Test
+  void unwantedLinkIsClosed() throws Exception {
+    Recorder a = start("a", SECRET);
+    Recorder b = start("b", SECRET);
+    linksOf.get(0).want(List.of(b.self.links()));
+    assertNotNull(a.up.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+    linksOf.get(0).want(List.of());
+    assertNotNull(a.down.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+    assertTrue(linksOf.get(0).opened().isEmpty());
+  }
+
+  @Test
+  void heartbeatsAreSmall() throws IOException {
+    Recorder a = start("a", SECRET);
+    int empty = LinkCodec.encode(new LinkMessage.Heartbeat(9_000, 12, false, List.of())).length;
+    int one = LinkCodec.encode(new LinkMessage.Heartbeat(9_000, 12, false, List.of(a.self))).length;
+    System.out.printf("heartbeat: %d bytes, and %d for each record%n", empty, one - empty);
+    assertTrue(empty <= 80, "heartbeat has " + empty + " bytes");
+    assertTrue(one - empty <= 130, "record has " + (one - empty) + " bytes");
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/upstream/LoadReportsTest.java
@@ -0,0 +1,37 @@
+package org.arbutusspar.io.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.arbutusspar.core.route.LoadReport;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+
+class LoadReportsTest {
+
+  private static Optional<LoadReport> header(String value) {
+    return LoadReports.fromHeaders(HttpFields.build().put(LoadReports.HEADER, value));
+  }
+
+  @Test
+  void headerIsReadBack() {
+    LoadReport report = new LoadReport(3, 2, true);
+    assertEquals(Optional.of(report), header(LoadReports.toHeader(report)));
+  }
+
+  @Test
+  void malformedReportsAreNoReports() {
+    List<String> malformed =
+        List.of(
+            "", "JSON {}", "TEXT ", "TEXT named_metrics.running=x", "TEXT " + "a".repeat(5_000));
+    for (String each : malformed) {
+      assertTrue(header(each).isEmpty(), each);
+    }
+    for (String each : List.of("", "[]", "{}", "{\"running\":\"x\"}", "{")) {
+      assertTrue(LoadReports.fromJson(each).isEmpty(), each);
+    }
+    assertEquals(Optional.of(new LoadReport(1, 0, false)), LoadReports.fromJson("{\"running\":1}"));
+  }
+}
