--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/AttemptFailure.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/AttemptFailure.java
@@ -28,6 +28,8 @@
     ERROR,
     /** The connection was lost, or the stream ended early, after bytes were handed over. */
     LOST,
+    /** The connection carried nothing any more while a new one to the same replica works. */
+    SILENT,
     /** The answer could not be decoded or names another request. */
     INVALID
   }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/OutcomeStore.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/OutcomeStore.java
@@ -31,7 +31,7 @@
   /** Fingerprint of an outcome that holds for any request under its identifier. */
   static final long ANY_FINGERPRINT = 0;
 
-  private static final long MAX_FREE_CHARS = 16_000_000;
+  private static final long MAX_FREE_CHARS = 4_000_000;
   private static final int ENTRY_CHARS = 300;
 
   private final Map<RequestKey, Kept> kept = new HashMap<>();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/RequestFlow.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/RequestFlow.java
@@ -27,7 +27,7 @@
 final class RequestFlow {
 
   /** Most requests between admission and outcome. */
-  static final int MAX_ACTIVE = 20_000;
+  static final int MAX_ACTIVE = 8_000;
 
   /** Most attempts over all stages of a request. */
   static final int MAX_ATTEMPTS = 12;
@@ -206,11 +206,15 @@
       request.onNotSent();
     }
     boolean lost =
-        failure.kind() == AttemptFailure.Kind.LOST || failure.kind() == AttemptFailure.Kind.INVALID;
+        failure.kind() == AttemptFailure.Kind.LOST
+            || failure.kind() == AttemptFailure.Kind.SILENT
+            || failure.kind() == AttemptFailure.Kind.INVALID;
     if (lost && !request.request().repeatable()) {
       request.onUncertain();
     }
-    boolean blamed = failure.kind() != AttemptFailure.Kind.REJECTED;
+    boolean blamed =
+        failure.kind() != AttemptFailure.Kind.REJECTED
+            && failure.kind() != AttemptFailure.Kind.SILENT;
     if (blamed && attempt.replica().onFailure(now)) {
       actions.record(
           Decision.Kind.EJECT,
@@ -251,12 +255,20 @@
         && failure.kind() != AttemptFailure.Kind.REJECTED
         && request.attemptCount() < MAX_ATTEMPTS
         && request.remainingMillis(now) > 0
-        && attempt.pool().budget().tryTake();
+        && mayCost(attempt, failure);
+  }
+
+  /**
+   * Returns whether the budget allows another attempt. One that is lost to a silent connection is
+   * free, since a connection goes silent once.
+   */
+  private static boolean mayCost(Attempt attempt, AttemptFailure failure) {
+    return failure.kind() == AttemptFailure.Kind.SILENT || attempt.pool().budget().tryTake();
   }
 
   private static Reason reasonOf(AttemptFailure failure) {
     return switch (failure.kind()) {
-      case LOST -> Reason.UPSTREAM_LOST;
+      case LOST, SILENT -> Reason.UPSTREAM_LOST;
       case INVALID -> Reason.INVALID_ANSWER;
       default -> Reason.UPSTREAM_FAILED;
     };
@@ -354,6 +366,7 @@
   /** Ends a request without an answer, and cancels what it still has running. */
   void giveUp(ActiveRequest request, Reason reason, String step, long now) {
     dispatcher.unqueue(request);
+    cancelAttempts(request, now);
     finish(request, refused(request, reason, Outcome.Origin.local(step)), now);
   }
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/id/Identifiers.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/Identifiers.java
@@ -1,5 +1,6 @@
 package org.arbutusspar.core.id;
 
+import java.util.function.IntPredicate;
 import org.apache.commons.lang3.Validate;
 
 /** Shared checks of identifier texts. */
@@ -32,6 +33,35 @@
     return value;
   }
 
+  /**
+   * Returns whether every character of a text is accepted.
+   *
+   * @param text the text, may be null
+   * @param maxChars most characters; there must be at least one
+   * @param accepted tells which characters are accepted, not null
+   * @return true if the text is neither null, empty nor too long and holds nothing else
+   */
+  static boolean consistsOf(String text, int maxChars, IntPredicate accepted) {
+    return text != null
+        && !text.isEmpty()
+        && text.length() <= maxChars
+        && text.chars().allMatch(accepted);
+  }
+
+  /** Returns whether a character is a lower-case hexadecimal digit. */
+  static boolean isHexDigit(int c) {
+    return c >= '0' && c <= '9' || c >= 'a' && c <= 'f';
+  }
+
+  /** Returns whether a character is a letter, digit, hyphen or underscore. */
+  static boolean isWordChar(int c) {
+    return c >= 'a' && c <= 'z'
+        || c >= 'A' && c <= 'Z'
+        || c >= '0' && c <= '9'
+        || c == '-'
+        || c == '_';
+  }
+
   private static boolean isNameChar(char c) {
     return c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-';
   }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/id/PrefixSigner.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/PrefixSigner.java
@@ -8,7 +8,7 @@
 import javax.crypto.spec.SecretKeySpec;
 import org.apache.commons.lang3.Validate;
 
-/** Issues request prefixes and checks their signatures. Not safe for use by several threads. */
+/** Issues request prefixes and checks their signatures. Safe for use by several threads. */
 public final class PrefixSigner {
 
   private static final String ALGORITHM = "HmacSHA256";
@@ -63,7 +63,7 @@
     return MessageDigest.isEqual(expected, prefix.signature().getBytes(StandardCharsets.UTF_8));
   }
 
-  private String sign(Home home, long issuedAtMillis) {
+  private synchronized String sign(Home home, long issuedAtMillis) {
     String text = home + "." + Long.toHexString(issuedAtMillis);
     byte[] full = mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
     return HexFormat.of().formatHex(full, 0, SIGNATURE_BYTES);
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/id/RequestId.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/RequestId.java
@@ -23,7 +23,7 @@
   public RequestId {
     Objects.requireNonNull(prefix, "prefix");
     Validate.isTrue(
-        suffix != null && suffix.matches("[A-Za-z0-9_-]{1," + MAX_SUFFIX_CHARS + "}"),
+        Identifiers.consistsOf(suffix, MAX_SUFFIX_CHARS, Identifiers::isWordChar),
         "identifier suffix must be 1 to 64 letters, digits, hyphens or underscores");
   }
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/id/RequestPrefix.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/RequestPrefix.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.core.id;
 
 import java.util.Objects;
+import org.apache.commons.lang3.StringUtils;
 import org.apache.commons.lang3.Validate;
 
 /**
@@ -14,12 +15,16 @@
 
   private static final int PARTS = 4;
   private static final int HEX_RADIX = 16;
+  private static final int SIGNATURE_CHARS = 16;
 
   /** Checks the components. */
   public RequestPrefix {
     Objects.requireNonNull(home, "home");
     Validate.isTrue(
-        signature != null && signature.matches("[0-9a-f]{16}"), "prefix signature is malformed");
+        signature != null
+            && signature.length() == SIGNATURE_CHARS
+            && Identifiers.consistsOf(signature, SIGNATURE_CHARS, Identifiers::isHexDigit),
+        "prefix signature is malformed");
   }
 
   /**
@@ -30,7 +35,7 @@
    * @throws IllegalArgumentException if the text is malformed
    */
   public static RequestPrefix parse(String text) {
-    String[] parts = text.split("\\.", -1);
+    String[] parts = StringUtils.splitPreserveAllTokens(text, '.');
     Validate.isTrue(parts.length == PARTS, "identifier prefix must have %d parts", PARTS);
     try {
       Home home = new Home(InstanceId.of(parts[0]), Long.parseUnsignedLong(parts[1], HEX_RADIX));
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/flow/CoordinatorTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/flow/CoordinatorTest.java
@@ -203,6 +203,18 @@
     assertEquals(Reason.DEADLINE, world.refusal(caller).reason());
     assertEquals(List.of(world.lastSend().attempt()), world.cancelled);
     assertEquals(0, world.coordinator.status().active());
+    assertEquals(1, world.refusal(caller).costs().size(), "what it has cost is told");
+  }
+
+  @Test
+  void silentConnectionIsNotHeldAgainstTheReplicaAndCostsNoBudget() {
+    FakeWorld single = FakeWorld.ready(Samples.state(), 1);
+    CallerId caller = single.arrive(single.pipelineRequest(single.key("big", "x"), 1_000));
+    for (int i = 0; i < 5; i++) {
+      single.fail(single.lastSend(), AttemptFailure.Kind.SILENT);
+    }
+    assertEquals(6, single.sends.size());
+    assertFalse(single.hasOutcome(caller));
   }
 
   @Test
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/ArrivalPlan.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/ArrivalPlan.java
@@ -29,16 +29,21 @@
    * @param broadcastSecond when the broadcast happens
    * @param decaySeconds time in which the rise falls to a third
    * @param endSecond when the load ends
+   * @param warmUpSeconds time in which the rate first rises from nothing
    */
   record Shape(
       double quietRate,
       double peakRate,
       double broadcastSecond,
       double decaySeconds,
-      double endSecond) {
+      double endSecond,
+      double warmUpSeconds) {
 
     /** Returns the rate at a time, in requests a second. */
     double rate(double second) {
+      if (second < warmUpSeconds) {
+        return quietRate * second / warmUpSeconds;
+      }
       if (second < broadcastSecond) {
         return quietRate;
       }
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/LoadCommand.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/LoadCommand.java
@@ -66,6 +66,12 @@
       description = "Time between callers and instances, one way, to be added")
   private double clientDelayMillis;
 
+  @Option(
+      name = "--warm-up",
+      title = "S",
+      description = "Let the rate rise for this long, and leave these requests out of the figures")
+  private double warmUp;
+
   @Option(name = "--data-centres", title = "A,B", description = "Data centres of callers, in turn")
   private String dataCentres = "";
 
@@ -113,7 +119,8 @@
         peakRate < 0 ? rate : peakRate,
         broadcastAt < 0 ? seconds / 3 : broadcastAt,
         decay,
-        seconds);
+        seconds,
+        warmUp);
   }
 
   private PrintWriter openOutcomes() {
@@ -142,13 +149,19 @@
       }
       CallSpec spec = maker.next();
       if (stats.pending() < MAX_PENDING) {
-        sendOne(client, spec, due, (int) (index++ % addresses.size()), outcomes);
+        int place = (int) (index++ % addresses.size());
+        sendOne(client, spec, due, place, outcomes, at >= warmUp);
       }
     }
   }
 
   private void sendOne(
-      CallerClient client, CallSpec spec, long due, int place, PrintWriter outcomes) {
+      CallerClient client,
+      CallSpec spec,
+      long due,
+      int place,
+      PrintWriter outcomes,
+      boolean counted) {
     stats.onSent();
     long extra = (long) (2 * clientDelayMillis * TimeUnit.MILLISECONDS.toNanos(1));
     CallSpec onWire = withDeadline(spec, spec.deadlineMillis() - (long) (2 * clientDelayMillis));
@@ -158,7 +171,7 @@
             result -> {
               long nanos = System.nanoTime() - due + extra;
               boolean right = !verify || RequestMaker.isRight(spec, result);
-              stats.onDone(spec, result, nanos, right);
+              stats.onDone(spec, result, nanos, right, counted);
               synchronized (outcomes) {
                 outcomes.println(
                     result.outcome()
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/LoadStats.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/LoadStats.java
@@ -24,6 +24,7 @@
   private final Map<String, StageSum> stages = new TreeMap<>();
   private final Map<String, WorkspaceSum> workspaces = new TreeMap<>();
   private long sent;
+  private long ended;
   private long done;
   private long inTime;
   private long wrong;
@@ -39,8 +40,14 @@
     sent++;
   }
 
-  /** Books a request's end. */
-  synchronized void onDone(CallSpec spec, CallResult result, long nanos, boolean right) {
+  /** Books a request's end; one that is not counted matters only if its answer is wrong. */
+  synchronized void onDone(
+      CallSpec spec, CallResult result, long nanos, boolean right, boolean counted) {
+    ended++;
+    wrong += right ? 0 : 1;
+    if (!counted) {
+      return;
+    }
     done++;
     long micros = Math.min(MAX_MICROS, TimeUnit.NANOSECONDS.toMicros(nanos));
     boolean good =
@@ -51,7 +58,6 @@
       refusedMicros.recordValue(micros);
     }
     inTime += good ? 1 : 0;
-    wrong += right ? 0 : 1;
     String label =
         result.isAnswered()
             ? good ? "answered in time" : "answered late"
@@ -72,7 +78,7 @@
   }
 
   synchronized long pending() {
-    return sent - done;
+    return sent - ended;
   }
 
   synchronized long wrong() {
@@ -86,9 +92,9 @@
         "t=%ds sent=%d done=%d inTime=%d pending=%d p99=%.0fms wrong=%d",
         seconds,
         sent,
-        done,
+        ended,
         inTime,
-        sent - done,
+        sent - ended,
         answeredMicros.getValueAtPercentile(99) / 1_000.0,
         wrong);
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/CallerApi.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/CallerApi.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.simple.ThreadLocalRandomSource;
 import org.arbutusspar.core.config.Pipeline;
 import org.arbutusspar.core.config.Workspace;
 import org.arbutusspar.core.flow.CallerId;
@@ -57,7 +58,6 @@
   private final FellowLinks fellows;
   private final AddressBook addresses;
   private final PrefixSigner signer;
-  private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
 
   private CallerApi(
       DecisionRuntime runtime,
@@ -95,31 +95,27 @@
     String path = exchange.path();
     boolean post = exchange.method().equals("POST");
     boolean get = exchange.method().equals("GET");
-    if (get && path.equals("/v1/addresses")) {
-      onLoop(exchange, () -> answerAddresses(exchange));
-    } else if (post && path.startsWith(PIPELINES)) {
-      onLoop(exchange, () -> submit(exchange, path.substring(PIPELINES.length()), false));
-    } else if (post && path.startsWith(SERVICES)) {
-      onLoop(exchange, () -> submit(exchange, path.substring(SERVICES.length()), true));
-    } else if (get && path.startsWith(REQUESTS)) {
-      onLoop(exchange, () -> ask(exchange, path.substring(REQUESTS.length())));
-    } else {
-      return false;
+    try {
+      if (get && path.equals("/v1/addresses")) {
+        addresses(exchange);
+      } else if (post && path.startsWith(PIPELINES)) {
+        submit(exchange, path.substring(PIPELINES.length()), false);
+      } else if (post && path.startsWith(SERVICES)) {
+        submit(exchange, path.substring(SERVICES.length()), true);
+      } else if (get && path.startsWith(REQUESTS)) {
+        ask(exchange, path.substring(REQUESTS.length()));
+      } else {
+        return false;
+      }
+    } catch (BadRequestException e) {
+      e.answer(exchange);
     }
     return true;
   }
 
+  /** Hands a request that was understood to the decision thread, or refuses it. */
   private void onLoop(Exchange exchange, Runnable task) {
-    boolean accepted =
-        loop.offer(
-            () -> {
-              try {
-                task.run();
-              } catch (BadRequestException e) {
-                e.answer(exchange);
-              }
-            });
-    if (!accepted) {
+    if (!loop.offer(task)) {
       exchange.reply(
           UNAVAILABLE,
           Map.of("Retry-After", "1"),
@@ -127,8 +123,12 @@
     }
   }
 
-  private void answerAddresses(Exchange exchange) {
+  private void addresses(Exchange exchange) {
     Optional<DataCentre> dataCentre = exchange.query("dc").map(CallerApi::dataCentre);
+    onLoop(exchange, () -> answerAddresses(exchange, dataCentre));
+  }
+
+  private void answerAddresses(Exchange exchange, Optional<DataCentre> dataCentre) {
     AddressAnswer answer = addresses.answer(fellows.membership().serving(), dataCentre);
     ObjectNode node = Mappers.json().createObjectNode();
     node.put("keepMs", answer.keepMillis());
@@ -175,15 +175,19 @@
   }
 
   private void start(Exchange exchange, Request request, boolean service, boolean streaming) {
-    CallerId[] caller = new CallerId[1];
+    CallerId caller = runtime.newCaller();
     HttpReplyTarget target =
         HttpReplyTarget.create(
             exchange,
             service,
             Map.of(HEADER_ID, request.key().id().toString()),
-            () -> loop.post(() -> onLeft(caller[0], request.key())));
-    caller[0] = runtime.register(target);
-    runtime.handle(new Event.Arrive(request, caller[0], streaming));
+            () -> loop.post(() -> onLeft(caller, request.key())));
+    onLoop(
+        exchange,
+        () -> {
+          runtime.register(caller, target);
+          runtime.handle(new Event.Arrive(request, caller, streaming));
+        });
   }
 
   private void onLeft(CallerId caller, RequestKey key) {
@@ -196,9 +200,9 @@
     RequestKey key = new RequestKey(workspace.id(), requestId(text));
     long wait = number(exchange.query("waitMs"), "waitMs").orElse(DEFAULT_ASK_MILLIS);
     boolean service = exchange.query("kind").filter("service"::equals).isPresent();
-    CallerId caller =
-        runtime.register(HttpReplyTarget.create(exchange, service, Map.of(), () -> {}));
-    runtime.handle(new Event.Ask(key, caller, System.nanoTime() + nanos(wait)));
+    HttpReplyTarget target = HttpReplyTarget.create(exchange, service, Map.of(), () -> {});
+    long deadline = System.nanoTime() + nanos(wait);
+    onLoop(exchange, () -> runtime.handle(new Event.Ask(key, runtime.register(target), deadline)));
   }
 
   private Workspace authenticate(Exchange exchange) {
@@ -207,7 +211,7 @@
         .header("Authorization")
         .filter(value -> value.startsWith(prefix))
         .map(value -> Sha256.hex(value.substring(prefix.length())))
-        .flatMap(hash -> runtime.coordinator().config().workspaceByKeyHash(hash))
+        .flatMap(hash -> runtime.config().workspaceByKeyHash(hash))
         .orElseThrow(BadRequestException::unauthorized);
   }
 
@@ -224,6 +228,8 @@
   }
 
   private RequestId newId() {
+    UniformRandomProvider random =
+        ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP);
     String suffix = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
     return new RequestId(signer.issue(fellows.self().home(), System.currentTimeMillis()), suffix);
   }
@@ -262,7 +268,6 @@
   private long deadlineNanos(Exchange exchange, ObjectName target) {
     long fallback =
         runtime
-            .coordinator()
             .config()
             .pipeline(target)
             .map(Pipeline::deadlineMillis)
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/DecisionRuntime.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/DecisionRuntime.java
@@ -2,17 +2,18 @@
 
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.arbutusspar.core.config.ConfigIndex;
+import org.arbutusspar.core.config.ConfigState;
 import org.arbutusspar.core.flow.Action;
 import org.arbutusspar.core.flow.CallerId;
 import org.arbutusspar.core.flow.Coordinator;
 import org.arbutusspar.core.flow.Decision;
 import org.arbutusspar.core.flow.Event;
-import org.arbutusspar.io.KeyValueLine;
 import org.arbutusspar.io.upstream.UpstreamClient;
 
 /** Feeds events to the coordinator and carries out its actions, on the decision thread. */
@@ -25,17 +26,21 @@
   private final Map<CallerId, ReplyTarget> callers = new HashMap<>();
   private UpstreamClient upstream;
   private Forwarder forwarder;
-  private long nextCaller;
+  private final Lanes lanes;
+  private final AtomicLong nextCaller = new AtomicLong();
+  private volatile ConfigIndex config = ConfigIndex.of(ConfigState.EMPTY);
 
-  private DecisionRuntime(Coordinator coordinator, EntryMetrics metrics) {
+  private DecisionRuntime(Coordinator coordinator, EntryMetrics metrics, Lanes lanes) {
     this.coordinator = coordinator;
     this.metrics = metrics;
+    this.lanes = lanes;
   }
 
-  static DecisionRuntime create(Coordinator coordinator, EntryMetrics metrics) {
+  static DecisionRuntime create(Coordinator coordinator, EntryMetrics metrics, Lanes lanes) {
     return new DecisionRuntime(
         Objects.requireNonNull(coordinator, "coordinator"),
-        Objects.requireNonNull(metrics, "metrics"));
+        Objects.requireNonNull(metrics, "metrics"),
+        Objects.requireNonNull(lanes, "lanes"));
   }
 
   /** Sets where attempts and forwarded requests go; to be called before the first event. */
@@ -53,13 +58,28 @@
     return callers.size();
   }
 
+  /** Returns an identifier for a caller that is about to be registered; safe on any thread. */
+  CallerId newCaller() {
+    return new CallerId(nextCaller.getAndIncrement());
+  }
+
   /** Registers a caller that will get exactly one reply. */
   CallerId register(ReplyTarget target) {
-    CallerId caller = new CallerId(nextCaller++);
-    callers.put(caller, target);
+    CallerId caller = newCaller();
+    register(caller, target);
     return caller;
   }
 
+  /** Registers a caller that will get exactly one reply. */
+  void register(CallerId caller, ReplyTarget target) {
+    callers.put(caller, target);
+  }
+
+  /** Returns the configuration in force; safe on any thread. */
+  ConfigIndex config() {
+    return config;
+  }
+
   /** Forgets a caller that went away. */
   void forget(CallerId caller) {
     callers.remove(caller);
@@ -70,27 +90,28 @@
     for (Action action : actions) {
       perform(action);
     }
+    config = coordinator.config();
   }
 
   private void perform(Action action) {
     if (action instanceof Action.Send send) {
       metrics.onSend(send.service().name().value());
-      upstream.send(send);
+      lanes.run(send.attempt(), () -> upstream.send(send));
     } else if (action instanceof Action.Record decision) {
       log(decision.decision());
     } else if (action instanceof Action.Reply reply) {
       metrics.onOutcome(reply.outcome());
       ReplyTarget target = callers.remove(reply.caller());
       if (target != null) {
-        target.reply(reply.key(), reply.outcome());
+        lanes.run(reply.caller(), () -> target.reply(reply.key(), reply.outcome()));
       }
     } else if (action instanceof Action.Emit emit) {
       ReplyTarget target = callers.get(emit.caller());
       if (target != null) {
-        target.emit(emit.text(), emit.restart());
+        lanes.run(emit.caller(), () -> target.emit(emit.text(), emit.restart()));
       }
     } else if (action instanceof Action.Cancel cancel) {
-      upstream.cancel(cancel.attempt());
+      lanes.run(cancel.attempt(), () -> upstream.cancel(cancel.attempt()));
     } else if (action instanceof Action.Poll poll) {
       upstream.poll(poll);
     } else if (action instanceof Action.ForwardRequest forward) {
@@ -102,17 +123,7 @@
 
   private void log(Decision decision) {
     metrics.onDecision(decision);
-    DECISIONS.info(
-        KeyValueLine.event(label(decision.kind()))
-            .with("request", decision.request())
-            .with("workspace", decision.workspace())
-            .with("step", decision.step())
-            .with("peer", decision.peer())
-            .withPairs(decision.detail()));
-  }
-
-  private static String label(Decision.Kind kind) {
-    return kind.name().toLowerCase(Locale.ROOT);
+    DECISIONS.info(new DecisionMessage(decision));
   }
 
   /** Hands requests and questions to the instances that are their home. */
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/Exchange.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/Exchange.java
@@ -71,6 +71,11 @@
     return Optional.ofNullable(fields.getValue(name));
   }
 
+  /** Returns when the connection was made, milliseconds since the epoch. */
+  public long connectedAtMillis() {
+    return request.getConnectionMetaData().getConnection().getCreatedTimeStamp();
+  }
+
   /** Returns the IP number that the request came from. */
   public String remoteHost() {
     return Request.getRemoteAddr(request);
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/platform/HttpPlatformList.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/platform/HttpPlatformList.java
@@ -14,15 +14,15 @@
 public final class HttpPlatformList implements PlatformList {
 
   private static final String STEP = "list-read";
-  private static final long TIMEOUT_MILLIS = 2_000;
+  private static final long TIMEOUT_MILLIS = 1_500;
   private static final int NOT_MODIFIED = 304;
 
-  private final HttpCaller http;
+  private final PlatformCalls http;
   private final URI base;
   private volatile Cached cached = new Cached("", Listing.EMPTY);
 
   private HttpPlatformList(HttpCaller http, URI base) {
-    this.http = http;
+    this.http = PlatformCalls.create(http);
     this.base = base;
   }
 
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/platform/HttpPlatformLog.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/platform/HttpPlatformLog.java
@@ -13,14 +13,14 @@
 /** Client of the log service over HTTP. */
 public final class HttpPlatformLog implements PlatformLog {
 
-  private static final long TIMEOUT_MILLIS = 2_000;
+  private static final long TIMEOUT_MILLIS = 1_500;
   private static final int PAGE_RECORDS = 500;
 
-  private final HttpCaller http;
+  private final PlatformCalls http;
   private final URI base;
 
   private HttpPlatformLog(HttpCaller http, URI base) {
-    this.http = http;
+    this.http = PlatformCalls.create(http);
     this.base = base;
   }
 
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/platform/PlatformCalls.java
@@ -0,0 +1,37 @@
+package org.arbutusspar.io.platform;
+
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.arbutusspar.io.http.HttpCall;
+import org.arbutusspar.io.http.HttpCaller;
+import org.arbutusspar.io.http.HttpReply;
+
+/**
+ * Calls to the platform. After a call that failed, the next ones use new connections, since the old
+ * ones may have gone silent.
+ */
+final class PlatformCalls {
+
+  private final HttpCaller http;
+  private final AtomicInteger generation = new AtomicInteger();
+
+  private PlatformCalls(HttpCaller http) {
+    this.http = http;
+  }
+
+  static PlatformCalls create(HttpCaller http) {
+    return new PlatformCalls(Objects.requireNonNull(http, "http"));
+  }
+
+  CompletableFuture<HttpReply> call(String step, HttpCall call) {
+    int used = generation.get();
+    return http.call(step, call.inPool("g" + used))
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure != null) {
+                generation.compareAndSet(used, used + 1);
+              }
+            });
+  }
+}
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/AttemptCall.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/AttemptCall.java
@@ -27,6 +27,7 @@
   private static final int STATUS_TOO_MANY = 429;
   private static final int STATUS_UNAVAILABLE = 503;
   private static final int FIRST_SERVER_ERROR = 500;
+  private static final long UNANSWERED_NANOS = 1_000_000_000L;
   private static final String END_MARKER = "[DONE]";
 
   private final Action.Send send;
@@ -36,7 +37,9 @@
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final StringBuilder text = new StringBuilder();
   private final SseParser events = SseParser.create(this::onData);
+  private final long startNanos = System.nanoTime();
   private volatile boolean handedOver;
+  private volatile boolean answering;
   private int status;
   private Optional<LoadReport> report = Optional.empty();
   private boolean ended;
@@ -61,8 +64,28 @@
     handedOver = true;
   }
 
+  /** Returns whether nothing of the answer has come for a while. */
+  boolean isUnanswered() {
+    return !answering && !isDone() && System.nanoTime() - startNanos > UNANSWERED_NANOS;
+  }
+
+  /**
+   * Ends the attempt as silent if nothing of its answer has come for a while.
+   *
+   * @return whether the attempt was ended by this
+   */
+  boolean failIfUnanswered() {
+    return isUnanswered()
+        && end(
+            new Event.AttemptFailed(
+                send.attempt(),
+                new AttemptFailure(AttemptFailure.Kind.SILENT, "connection is silent"),
+                Optional.empty()));
+  }
+
   @Override
   public void onHeaders(int code, HttpFields headers) {
+    answering = true;
     status = code;
     report = LoadReports.fromHeaders(headers);
     String echoed = headers.get(UpstreamClient.IDENTITY);
@@ -178,9 +201,11 @@
     end(new Event.AttemptFailed(send.attempt(), new AttemptFailure(kind, message), report));
   }
 
-  private void end(Event event) {
-    if (done.compareAndSet(false, true)) {
+  private boolean end(Event event) {
+    boolean first = done.compareAndSet(false, true);
+    if (first) {
       onEnd.accept(event);
     }
+    return first;
   }
 }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
@@ -3,7 +3,10 @@
 import java.net.URI;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.arbutusspar.core.config.StageKind;
 import org.arbutusspar.core.flow.Action;
@@ -11,6 +14,7 @@
 import org.arbutusspar.core.id.AttemptId;
 import org.arbutusspar.core.id.ReplicaId;
 import org.arbutusspar.core.route.ListedReplica;
+import org.arbutusspar.core.route.LoadReport;
 import org.arbutusspar.io.http.HttpCall;
 import org.arbutusspar.io.http.HttpCaller;
 
@@ -18,8 +22,9 @@
  * Sends attempts and polls to replicas. Safe for use by several threads.
  *
  * <p>A connection can go silent for good while new ones work. Each replica therefore has a
- * generation of connections: a poll that gets no answer in time retires the whole generation, and
- * is repeated on a new connection before anything is held against the replica.
+ * generation of connections, which is retired as a whole when a poll gets no answer on it but does
+ * on a new connection, or when the replica reports fewer calls than this instance waits for. What
+ * was under way on the generation is told as silent, and nothing is held against the replica.
  */
 public final class UpstreamClient implements AutoCloseable {
 
@@ -31,13 +36,14 @@
 
   private static final long POLL_TIMEOUT_MILLIS = 500;
   private static final long RETRY_TIMEOUT_MILLIS = 1_000;
+  private static final long COMPARE_AGAIN_MILLIS = 200;
   private static final long LATE_MILLIS = 30_000;
   private static final long GRACE_MILLIS = 1_000;
   private static final String STEP_POLL = "poll";
 
   private final HttpCaller http;
   private final Consumer<Event> events;
-  private final Map<AttemptId, HttpCaller.Cancellable> calls = new ConcurrentHashMap<>();
+  private final Map<AttemptId, InFlight> calls = new ConcurrentHashMap<>();
   private final Map<ReplicaId, Integer> generations = new ConcurrentHashMap<>();
 
   private UpstreamClient(HttpCaller http, Consumer<Event> events) {
@@ -71,8 +77,9 @@
               events.accept(event);
             },
             events);
-    HttpCaller.Cancellable cancellable = http.stream(httpCall(send), call);
-    calls.put(send.attempt(), cancellable);
+    int generation = generation(send.replica().id());
+    HttpCaller.Cancellable cancellable = http.stream(httpCall(send, generation), call);
+    calls.put(send.attempt(), new InFlight(send, generation, call, cancellable));
     if (call.isDone()) {
       calls.remove(send.attempt());
     }
@@ -84,9 +91,9 @@
    * @param attempt the attempt, not null
    */
   public void cancel(AttemptId attempt) {
-    HttpCaller.Cancellable call = calls.remove(attempt);
+    InFlight call = calls.remove(attempt);
     if (call != null) {
-      call.cancel();
+      call.cancellable().cancel();
     }
   }
 
@@ -101,39 +108,85 @@
     http.call(STEP_POLL, pollCall(replica, generation, POLL_TIMEOUT_MILLIS))
         .whenComplete(
             (reply, failure) -> {
-              if (failure == null) {
-                onPolled(poll, reply.body());
-              } else {
+              if (failure != null) {
                 retire(replica.id(), generation);
-                pollAgain(poll);
+                pollOnNewConnection(poll, report -> failUnanswered(replica.id(), generation));
+              } else {
+                onPolled(poll, reply.body()).ifPresent(report -> compare(poll, report));
               }
             });
   }
 
-  private void pollAgain(Action.Poll poll) {
+  private void pollOnNewConnection(Action.Poll poll, Consumer<LoadReport> next) {
     ListedReplica replica = poll.replica();
     HttpCall call = pollCall(replica, generation(replica.id()), RETRY_TIMEOUT_MILLIS);
-    http.call(STEP_POLL, call).thenAccept(reply -> onPolled(poll, reply.body()));
+    http.call(STEP_POLL, call).thenAccept(reply -> onPolled(poll, reply.body()).ifPresent(next));
+  }
+
+  private Optional<LoadReport> onPolled(Action.Poll poll, String body) {
+    Optional<LoadReport> report = LoadReports.fromJson(body);
+    report.ifPresent(r -> events.accept(new Event.Polled(poll.service(), poll.replica().id(), r)));
+    return report;
+  }
+
+  /**
+   * Compares a replica's report with the calls that have waited for it. If it has fewer calls than
+   * this instance waits for, and still has after a moment, the others never reached it or their
+   * answers were lost: their connections are silent.
+   */
+  private void compare(Action.Poll poll, LoadReport report) {
+    ReplicaId replica = poll.replica().id();
+    if (!misses(replica, report)) {
+      return;
+    }
+    int generation = generation(replica);
+    CompletableFuture.delayedExecutor(COMPARE_AGAIN_MILLIS, TimeUnit.MILLISECONDS)
+        .execute(
+            () ->
+                pollOnNewConnection(
+                    poll,
+                    again -> {
+                      if (misses(replica, again)) {
+                        retire(replica, generation);
+                        failUnanswered(replica, generation);
+                      }
+                    }));
+  }
+
+  private boolean misses(ReplicaId replica, LoadReport report) {
+    long unanswered =
+        calls.values().stream()
+            .filter(call -> call.replica().equals(replica))
+            .filter(call -> call.attempt().isUnanswered())
+            .count();
+    return report.running() + report.waiting() < unanswered;
   }
 
-  private void onPolled(Action.Poll poll, String body) {
-    LoadReports.fromJson(body)
-        .ifPresent(
-            report -> events.accept(new Event.Polled(poll.service(), poll.replica().id(), report)));
+  /** Ends the calls on a generation of connections of which nothing has come back for a while. */
+  private void failUnanswered(ReplicaId replica, int generation) {
+    for (InFlight call : calls.values()) {
+      boolean concerned =
+          call.replica().equals(replica)
+              && call.generation() <= generation
+              && !call.send().freshConnection();
+      if (concerned && call.attempt().failIfUnanswered()) {
+        call.cancellable().cancel();
+      }
+    }
   }
 
   private HttpCall pollCall(ListedReplica replica, int generation, long timeoutMillis) {
     return HttpCall.get(uri(replica, "/load"), timeoutMillis).inPool(pool(generation));
   }
 
-  private HttpCall httpCall(Action.Send send) {
+  private HttpCall httpCall(Action.Send send, int generation) {
     long grace = send.freshConnection() ? LATE_MILLIS : GRACE_MILLIS;
     String body = StageCodec.encode(send.service(), send.stage(), send.data());
     URI uri = uri(send.replica(), StageCodec.path(send.service()));
     HttpCall call =
         HttpCall.post(uri, body, Math.max(1, send.remainingMillis()) + grace)
             .with(IDENTITY, send.attempt().wireForm())
-            .inPool(pool(generation(send.replica().id())));
+            .inPool(pool(generation));
     if (send.service().kind() == StageKind.PLAIN) {
       call =
           call.with(
@@ -163,4 +216,13 @@
   public void close() {
     http.close();
   }
+
+  /** An attempt on its way. */
+  private record InFlight(
+      Action.Send send, int generation, AttemptCall attempt, HttpCaller.Cancellable cancellable) {
+
+    private ReplicaId replica() {
+      return send.replica().id();
+    }
+  }
 }
--- a/arbutusspar-standins/src/main/java/org/arbutusspar/standins/PlatformStandin.java
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/PlatformStandin.java
@@ -17,8 +17,8 @@
  *
  * <p>Faults are switched with {@code POST /admin/fault?name=value}: {@code log=up|down}, {@code
  * logLosesAnswers=true|false}, {@code logDelayMs=N}, {@code logRetain=N}, {@code list=up|down},
- * {@code listLagMs=N}. {@code POST /admin/leaving?replica=ID} and {@code POST
- * /admin/remove?replica=ID} change the list.
+ * {@code listLagMs=N}, {@code silenceConnections=now}. {@code POST /admin/leaving?replica=ID} and
+ * {@code POST /admin/remove?replica=ID} change the list.
  */
 public final class PlatformStandin implements AutoCloseable {
 
@@ -34,6 +34,7 @@
   private final LogStandin log = LogStandin.create(timer);
   private final ListStandin list;
   private final HttpHost host;
+  private volatile long silentBeforeMillis;
 
   private PlatformStandin(Endpoint endpoint, Listing listing) {
     list = ListStandin.create(listing, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
@@ -52,6 +53,10 @@
   }
 
   private void handle(Exchange exchange) {
+    boolean silent = exchange.connectedAtMillis() <= silentBeforeMillis;
+    if (silent && !exchange.path().startsWith("/admin/")) {
+      return;
+    }
     switch (exchange.method() + " " + exchange.path()) {
       case "POST /v1/append" -> append(exchange);
       case "GET /v1/read" -> read(exchange);
@@ -63,6 +68,11 @@
     }
   }
 
+  /** Makes every connection that exists now silent for good. */
+  private void silenceConnections() {
+    silentBeforeMillis = System.currentTimeMillis();
+  }
+
   private void append(Exchange exchange) {
     if (log.isDown()) {
       exchange.reply(STATUS_UNAVAILABLE, Map.of(), "{}");
@@ -116,6 +126,7 @@
     exchange.query("log").ifPresent(v -> log.setDown(v.equals(DOWN)));
     exchange.query("logLosesAnswers").ifPresent(v -> log.setLosesAnswers(Boolean.parseBoolean(v)));
     exchange.query("logDelayMs").ifPresent(v -> log.setDelayMillis(Long.parseLong(v)));
+    exchange.query("silenceConnections").ifPresent(v -> silenceConnections());
     exchange.query("logRetain").ifPresent(v -> log.setRetain(Integer.parseInt(v)));
     exchange.query("list").ifPresent(v -> list.setDown(v.equals(DOWN)));
     exchange.query("listLagMs").ifPresent(v -> list.setLagMillis(Long.parseLong(v)));
