Polls go to the pool of which least is fresh; slower heartbeats in large deployments

Test: CoordinatorTest.pollsKeepEveryReplicaOfAnIdleDeploymentFresh failed before ('gen at tick 1007') and passes now.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Pools.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Pools.java
@@ -28,8 +28,8 @@
  */
 final class Pools {
 
-  private static final long POLL_AFTER_NANOS = Nanos.ofMillis(1_000);
-  private static final double POLLS_PER_SECOND = 16;
+  private static final long POLL_AFTER_NANOS = Nanos.ofMillis(1_500);
+  private static final double POLLS_PER_SECOND = 20;
   private static final double POLL_BURST = 128;
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double PRIOR_TOKENS = 128;
@@ -89,24 +89,49 @@
     liveInstances = live;
   }
 
-  /** Returns the replicas to poll now. */
+  /** Returns the replicas to poll now: in turn from the pool of which least is fresh. */
   List<Replica> due(long now) {
     refill(now);
     List<Replica> due = new ArrayList<>();
-    boolean found = true;
-    while (found && pollTokens >= 1) {
-      found = false;
-      for (Pool pool : pools.values()) {
+    while (pollTokens >= 1) {
+      Optional<Replica> next = mostNeeded(now);
+      if (next.isEmpty()) {
+        break;
+      }
+      polledNanos.put(next.get().listed().id(), now);
+      due.add(next.get());
+      pollTokens--;
+    }
+    return due;
+  }
+
+  private Optional<Replica> mostNeeded(long now) {
+    Optional<Replica> most = Optional.empty();
+    double least = Double.MAX_VALUE;
+    for (Pool pool : pools.values()) {
+      double fresh = freshShare(pool, now);
+      if (fresh < least) {
         Optional<Replica> stalest = stalest(pool, now);
-        if (stalest.isPresent() && pollTokens >= 1) {
-          polledNanos.put(stalest.get().listed().id(), now);
-          due.add(stalest.get());
-          pollTokens--;
-          found = true;
+        if (stalest.isPresent()) {
+          least = fresh;
+          most = stalest;
         }
       }
     }
-    return due;
+    return most;
+  }
+
+  /** Returns the share of a pool that was heard or polled lately. */
+  private double freshShare(Pool pool, long now) {
+    int fresh = 0;
+    for (Replica replica : pool.replicas()) {
+      fresh += isDue(replica, now) ? 0 : 1;
+    }
+    return fresh / (double) Math.max(1, pool.replicas().size());
+  }
+
+  private boolean isDue(Replica replica, long now) {
+    return replica.wordAge(now) > POLL_AFTER_NANOS && !isPolledLately(replica, now);
   }
 
   private void refill(long now) {
@@ -118,8 +143,7 @@
   private Optional<Replica> stalest(Pool pool, long now) {
     Replica stalest = null;
     for (Replica replica : pool.replicas()) {
-      boolean stale = replica.wordAge(now) > POLL_AFTER_NANOS && !isPolledLately(replica, now);
-      if (stale && (stalest == null || replica.wordAge(now) > stalest.wordAge(now))) {
+      if (isDue(replica, now) && (stalest == null || replica.wordAge(now) > stalest.wordAge(now))) {
         stalest = replica;
       }
     }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/flow/CoordinatorTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/flow/CoordinatorTest.java
@@ -19,6 +19,7 @@
 import org.arbutusspar.core.request.Request;
 import org.arbutusspar.core.request.StageOutput;
 import org.arbutusspar.core.route.LoadReport;
+import org.arbutusspar.core.route.Pool;
 import org.junit.jupiter.api.Test;
 
 class CoordinatorTest {
@@ -236,6 +237,27 @@
     assertEquals(1, world.sends.size());
   }
 
+  @Test
+  void pollsKeepEveryReplicaOfAnIdleDeploymentFresh() {
+    int perService = 8;
+    FakeWorld idle = FakeWorld.ready(Samples.state(), perService);
+    for (int tick = 0; tick < 2_000; tick++) {
+      idle.others.clear();
+      idle.passMillis(10);
+      for (Action action : List.copyOf(idle.others)) {
+        if (action instanceof Action.Poll poll) {
+          idle.handle(new Event.Polled(poll.service(), poll.replica().id(), FakeWorld.IDLE));
+        }
+      }
+      for (Pool pool : idle.coordinator.pools()) {
+        assertEquals(perService, pool.replicas().size());
+        assertTrue(
+            pool.replicas().stream().allMatch(r -> r.isWordValid(idle.now)),
+            pool.service().name() + " at tick " + tick);
+      }
+    }
+  }
+
   @Test
   void whatCannotBeInTimeIsRefusedAtOnceWithTimeToComeBack() {
     final CallerId caller = world.arrive(world.pipelineRequest(world.key("big", "x"), 20));
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/FellowLinks.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/FellowLinks.java
@@ -107,12 +107,18 @@
     extraLinks.values().removeIf(until -> now >= until);
     dropExpiredCalls(now);
     refresh();
-    if (now - heartbeatNanos >= HEARTBEAT_NANOS) {
+    if (now - heartbeatNanos >= heartbeatInterval()) {
       heartbeatNanos = now;
       sendHeartbeats();
     }
   }
 
+  /** Returns the time between heartbeats: longer in a large deployment, to keep control cheap. */
+  private long heartbeatInterval() {
+    boolean small = told.size() <= Membership.MAX_FELLOWS;
+    return small ? HEARTBEAT_NANOS : 2 * HEARTBEAT_NANOS;
+  }
+
   private void sendHeartbeats() {
     for (Link link : links.opened()) {
       link.send(heartbeat(link.peer().home(), false));
