Engines' cache events: dropped prefixes come with polls

Cause: the core could forget a cache hint, but nothing read the engines' events. Change: generate calls carry a key of their prompt's beginning, engines tell dropped keys with their load report (late, repeated, with gaps: at most 64 are read), and the hint is forgotten.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Action.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Action.java
@@ -25,6 +25,7 @@
    * @param remainingMillis time left until the deadline
    * @param streaming whether parts of the answer are wanted as they come
    * @param freshConnection whether the call must not reuse a connection
+   * @param affinity hash of the prompt's beginning for an engine's cache; 0 for none
    */
   record Send(
       AttemptId attempt,
@@ -34,7 +35,8 @@
       RequestData data,
       long remainingMillis,
       boolean streaming,
-      boolean freshConnection)
+      boolean freshConnection,
+      long affinity)
       implements Action {}
 
   /**
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Dispatcher.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/flow/Dispatcher.java
@@ -146,7 +146,7 @@
         predict(pool, request),
         dataCentre,
         REMOTE_MILLIS,
-        Pools.isCached(pool.service()) ? affinity(request) : 0,
+        affinityFor(pool.service(), request),
         avoid);
   }
 
@@ -182,7 +182,8 @@
             request.data(),
             (long) request.remainingMillis(now),
             streams(request),
-            !request.request().repeatable()));
+            !request.request().repeatable(),
+            affinityFor(service, request)));
     if (request.request().repeatable()) {
       timers.set(now + slowNanos(predicted), Timers.Kind.SLOW, request.key(), id.attempt());
     }
@@ -217,6 +218,10 @@
     return pool.costModel().predictMillis(request.data().units(pool.service()));
   }
 
+  private static long affinityFor(Service service, ActiveRequest request) {
+    return Pools.isCached(service) ? affinity(request) : 0;
+  }
+
   /** Returns a hash of the prompt's beginning within a workspace. */
   static long affinity(ActiveRequest request) {
     String question = request.data().question();
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/LoadReports.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/LoadReports.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.arbutusspar.core.route.LoadReport;
 import org.arbutusspar.io.codec.Mappers;
@@ -18,6 +20,10 @@
   /** Name of the header field. */
   public static final String HEADER = "endpoint-load-metrics";
 
+  /** Most dropped prefixes that are read from one answer. */
+  public static final int MAX_DROPPED = 64;
+
+  private static final int HEX_RADIX = 16;
   private static final String FORMAT = "TEXT ";
   private static final String PREFIX = "named_metrics.";
   private static final int MAX_HEADER_CHARS = 1_000;
@@ -76,6 +82,27 @@
     return running < 0 ? Optional.empty() : Optional.of(new LoadReport(running, waiting, leaving));
   }
 
+  /**
+   * Returns the prompt prefixes that an engine says it dropped from its cache lately. Engines may
+   * tell late, repeat themselves and leave some out.
+   *
+   * @param body JSON body of a poll's answer, not null
+   * @return hashes of the prefixes, at most {@link #MAX_DROPPED}
+   */
+  public static List<Long> droppedPrefixes(String body) {
+    List<Long> dropped = new ArrayList<>();
+    try {
+      for (JsonNode each : Mappers.json().readTree(body).path("dropped")) {
+        if (dropped.size() < MAX_DROPPED && each.asText().matches("[0-9a-f]{1,16}")) {
+          dropped.add(Long.parseUnsignedLong(each.asText(), HEX_RADIX));
+        }
+      }
+    } catch (JsonProcessingException e) {
+      return List.of();
+    }
+    return dropped;
+  }
+
   /**
    * Returns the report in the JSON body of a poll's answer.
    *
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
@@ -34,6 +34,9 @@
   /** Header field that carries the key under which a plain service runs a call at most once. */
   public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
+  /** Header field that tells an engine which prompt prefix a call shares with others. */
+  public static final String PREFIX_KEY = "X-Prefix-Key";
+
   private static final long POLL_TIMEOUT_MILLIS = 500;
   private static final long RETRY_TIMEOUT_MILLIS = 1_000;
   private static final long COMPARE_AGAIN_MILLIS = 200;
@@ -126,6 +129,9 @@
   private Optional<LoadReport> onPolled(Action.Poll poll, String body) {
     Optional<LoadReport> report = LoadReports.fromJson(body);
     report.ifPresent(r -> events.accept(new Event.Polled(poll.service(), poll.replica().id(), r)));
+    for (long prefix : LoadReports.droppedPrefixes(body)) {
+      events.accept(new Event.PrefixDropped(poll.replica().id(), prefix));
+    }
     return report;
   }
 
@@ -187,6 +193,9 @@
         HttpCall.post(uri, body, Math.max(1, send.remainingMillis()) + grace)
             .with(IDENTITY, send.attempt().wireForm())
             .inPool(pool(generation));
+    if (send.affinity() != 0) {
+      call = call.with(PREFIX_KEY, Long.toHexString(send.affinity()));
+    }
     if (send.service().kind() == StageKind.PLAIN) {
       call =
           call.with(
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/upstream/LoadReportsTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/upstream/LoadReportsTest.java
@@ -34,4 +34,18 @@
     }
     assertEquals(Optional.of(new LoadReport(1, 0, false)), LoadReports.fromJson("{\"running\":1}"));
   }
+
+  @Test
+  void droppedPrefixesAreReadWithinBounds() {
+    assertEquals(
+        List.of(255L, -1L),
+        LoadReports.droppedPrefixes(
+            "{\"running\":0,\"dropped\":[\"ff\",\"no\",7.5,\"ffffffffffffffff\"]}"));
+    assertEquals(List.of(), LoadReports.droppedPrefixes("{\"running\":0}"));
+    assertEquals(List.of(), LoadReports.droppedPrefixes("{"));
+    String many = "\"1\",".repeat(500) + "\"1\"";
+    assertEquals(
+        LoadReports.MAX_DROPPED,
+        LoadReports.droppedPrefixes("{\"dropped\":[" + many + "]}").size());
+  }
 }
--- a/arbutusspar-standins/src/main/java/org/arbutusspar/standins/ReplicaStandin.java
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/ReplicaStandin.java
@@ -18,6 +18,7 @@
   private final boolean instant;
   private final ScheduledExecutorService timer;
   private final Deque<Runnable> waiting = new ArrayDeque<>();
+  private final PrefixCache cache = PrefixCache.create();
   private final Fault fault = new Fault();
   private int running;
 
@@ -46,6 +47,10 @@
     return fault;
   }
 
+  PrefixCache cache() {
+    return cache;
+  }
+
   synchronized LoadReport report() {
     return new LoadReport(running, waiting.size(), fault.leaving);
   }
--- a/arbutusspar-standins/src/main/java/org/arbutusspar/standins/TokenStream.java
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/TokenStream.java
@@ -6,12 +6,14 @@
 import org.arbutusspar.io.codec.Mappers;
 import org.arbutusspar.io.http.Exchange;
 import org.arbutusspar.io.http.StreamWriter;
+import org.arbutusspar.io.upstream.UpstreamClient;
 
 /** Streams an answer as an engine does: server-sent events, then an end marker. */
 final class TokenStream {
 
   private static final int STATUS_OK = 200;
   private static final int TOKENS_PER_EVENT = 4;
+  private static final double CACHED_SHARE = 0.5;
 
   private final StreamWriter out;
   private final ReplicaStandin replica;
@@ -33,7 +35,9 @@
       Map<String, String> headers,
       ReplicaStandin.CallFault fault) {
     boolean cut = fault == ReplicaStandin.CallFault.CUT;
-    double first = replica.millis(replica.kind().millis(0));
+    boolean cached =
+        exchange.header(UpstreamClient.PREFIX_KEY).filter(replica.cache()::use).isPresent();
+    double first = replica.millis(replica.kind().millis(0)) * (cached ? CACHED_SHARE : 1);
     replica.after(
         first,
         () -> {
--- a/arbutusspar-standins/src/main/java/org/arbutusspar/standins/UpstreamStandin.java
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/UpstreamStandin.java
@@ -187,7 +187,9 @@
         + report.waiting()
         + ",\"leaving\":"
         + report.leaving()
-        + "}";
+        + ",\"dropped\":["
+        + replica.cache().droppedJson()
+        + "]}";
   }
 
   private void admin(Exchange exchange) {
