Scripts build one at a time

Cause: two demos started at once in a fresh copy built over each other and failed to compile. Change: a file lock round the build.

--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -5,13 +5,16 @@
 
 say() { printf '%s\n' "$*"; }
 
+# Builds if a source is newer than the last build. Only one script builds at a time.
 build_if_needed() {
-  local stamp="$home/arbutusspar-ctl/target/lib"
-  if [ ! -d "$stamp" ] || [ -n "$(find "$home"/arbutusspar-*/src/main "$home"/pom.xml -newer "$stamp" -print -quit)" ]; then
-    say "building ..."
-    (cd "$home" && mvn -q -B package -DskipTests -Dspotless.check.skip -Dcheckstyle.skip)
-    touch "$stamp"
-  fi
+  (
+    flock 9
+    local stamp="$home/arbutusspar-bench/target/lib"
+    if [ ! -d "$stamp" ] || [ -n "$(find "$home"/arbutusspar-*/src/main "$home"/pom.xml -newer "$stamp" -print -quit)" ]; then
+      say "building ..."
+      cd "$home" && mvn -q -B package -DskipTests -Dspotless.check.skip -Dcheckstyle.skip && touch "$stamp"
+    fi
+  ) 9>"$home/.build.lock"
 }
 
 # Ends every process that the script started, and only those.
