--- a/arbutusspar-standins/src/main/java/org/arbutusspar/standins/PrefixCache.java
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/PrefixCache.java
@@ -24,7 +24,7 @@
 
   /** Uses a prefix, and returns whether it was in the cache. */
   synchronized boolean use(String prefix) {
-    boolean hit = prefixes.remove(prefix);
+    final boolean hit = prefixes.remove(prefix);
     prefixes.add(prefix);
     if (prefixes.size() > MAX_PREFIXES) {
       Iterator<String> oldest = prefixes.iterator();
