Silent connections are noticed on busy replicas too

Ruled out: the machine's load alone (the stuck call's cost is one attempt of 4.4 s at the engine). Change: the report in an answer is compared as well, at most twice a second for a replica.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryMetrics.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryMetrics.java
@@ -70,7 +70,7 @@
   String text() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     try {
-      new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+      PrometheusTextFormatWriter.create().write(out, registry.scrape());
     } catch (IOException e) {
       throw new IllegalStateException("metrics cannot be written", e);
     }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/upstream/UpstreamClient.java
@@ -40,6 +40,7 @@
   private static final long POLL_TIMEOUT_MILLIS = 500;
   private static final long RETRY_TIMEOUT_MILLIS = 1_000;
   private static final long COMPARE_AGAIN_MILLIS = 200;
+  private static final long COMPARE_EVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long LATE_MILLIS = 30_000;
   private static final long GRACE_MILLIS = 1_000;
   private static final String STEP_POLL = "poll";
@@ -48,6 +49,7 @@
   private final Consumer<Event> events;
   private final Map<AttemptId, InFlight> calls = new ConcurrentHashMap<>();
   private final Map<ReplicaId, Integer> generations = new ConcurrentHashMap<>();
+  private final Map<ReplicaId, Long> comparedNanos = new ConcurrentHashMap<>();
 
   private UpstreamClient(HttpCaller http, Consumer<Event> events) {
     this.http = http;
@@ -78,6 +80,7 @@
             event -> {
               calls.remove(send.attempt());
               events.accept(event);
+              compareWithAnswer(send, event);
             },
             events);
     int generation = generation(send.replica().id());
@@ -135,6 +138,20 @@
     return report;
   }
 
+  /** Compares the report in an answer now and then, since a busy replica is not polled. */
+  private void compareWithAnswer(Action.Send send, Event event) {
+    if (!(event instanceof Event.Replied replied) || replied.report().isEmpty()) {
+      return;
+    }
+    ReplicaId replica = send.replica().id();
+    long now = System.nanoTime();
+    long last = comparedNanos.getOrDefault(replica, now - COMPARE_EVERY_NANOS);
+    if (now - last >= COMPARE_EVERY_NANOS) {
+      comparedNanos.put(replica, now);
+      compare(new Action.Poll(send.service().name(), send.replica()), replied.report().get());
+    }
+  }
+
   /**
    * Compares a replica's report with the calls that have waited for it. If it has fewer calls than
    * this instance waits for, and still has after a moment, the others never reached it or their
