One place for the signed text of a prefix; drop an unused accessor

Cause: PrefixSigner built the text that RequestPrefix.signedPart already builds, so that a change of one would have broken every signature; UpstreamStandin's ledger() had no caller. Ruled out: AuditMain and StandinsMain, FakeReplica and ArrivalPlan, and the two fake nets of membership (alike in shape; the logic differs). Conclusion: behaviour as before.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/id/PrefixSigner.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/PrefixSigner.java
@@ -64,7 +64,7 @@
   }
 
   private synchronized String sign(Home home, long issuedAtMillis) {
-    String text = home + "." + Long.toHexString(issuedAtMillis);
+    String text = RequestPrefix.signedPart(home, issuedAtMillis);
     byte[] full = mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
     return HexFormat.of().formatHex(full, 0, SIGNATURE_BYTES);
   }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/id/RequestPrefix.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/id/RequestPrefix.java
@@ -46,12 +46,12 @@
   }
 
   /** Returns the part of the text form that the signature covers. */
-  String signedPart() {
+  static String signedPart(Home home, long issuedAtMillis) {
     return home + "." + Long.toHexString(issuedAtMillis);
   }
 
   @Override
   public String toString() {
-    return signedPart() + "." + signature;
+    return signedPart(home, issuedAtMillis) + "." + signature;
   }
 }
--- a/arbutusspar-standins/src/main/java/org/arbutusspar/standins/UpstreamStandin.java
+++ b/arbutusspar-standins/src/main/java/org/arbutusspar/standins/UpstreamStandin.java
@@ -97,11 +97,6 @@
     return new UpstreamStandin(Objects.requireNonNull(options, "options"));
   }
 
-  /** Returns how often each plain call was run. */
-  public Ledger ledger() {
-    return ledger;
-  }
-
   private void handle(Exchange exchange) {
     ReplicaStandin replica = byEndpoint.get(exchange.local());
     if (exchange.path().startsWith("/admin/")) {
