--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Beat.java
@@ -0,0 +1,15 @@
+package org.arbutusspar.core.fellow;
+
+/**
+ * What an instance tells the others several times a second.
+ *
+ * @param ready whether it takes requests
+ * @param leaving whether it shuts down
+ * @param configurationOffset offset of the configuration in force there, -1 if there is none
+ * @param replicasOffset offset up to which it has read the list of replicas, -1 if it has not
+ */
+public record Beat(boolean ready, boolean leaving, long configurationOffset, long replicasOffset) {
+
+  /** State of an instance that has said nothing yet. */
+  public static final Beat UNKNOWN = new Beat(false, false, -1, -1);
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Fellow.java
@@ -0,0 +1,26 @@
+package org.arbutusspar.core.fellow;
+
+import java.util.Objects;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.Endpoint;
+
+/**
+ * An instance as it introduces itself to others. Immutable.
+ *
+ * @param name name of the instance
+ * @param incarnation start of this life of its process; a later life has a larger number
+ * @param dataCentre data centre that it runs in
+ * @param links where it listens for links
+ * @param clients where it listens for clients
+ */
+public record Fellow(
+    String name, long incarnation, DataCentre dataCentre, Endpoint links, Endpoint clients) {
+
+  /** Checks the components. */
+  public Fellow {
+    Objects.requireNonNull(name, "name");
+    Objects.requireNonNull(dataCentre, "dataCentre");
+    Objects.requireNonNull(links, "links");
+    Objects.requireNonNull(clients, "clients");
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
@@ -0,0 +1,201 @@
+package org.arbutusspar.core.fellow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.apache.commons.lang3.Validate;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.Rendezvous;
+
+/** The other instances: who they are, and who of them has been heard of lately. */
+public final class FellowTable {
+
+  /** Most instances that are kept. */
+  public static final int MAX_FELLOWS = 1_024;
+
+  private final Fellow self;
+  private final long silenceNanos;
+  private final Map<String, Entry> entries = new TreeMap<>();
+  private Beat own = Beat.UNKNOWN;
+
+  private FellowTable(Fellow self, long silenceNanos) {
+    this.self = self;
+    this.silenceNanos = silenceNanos;
+  }
+
+  /**
+   * Returns a table without fellows.
+   *
+   * @param self this instance, not null
+   * @param silenceMillis an instance that has been silent for longer does not count as live
+   * @return the table
+   */
+  public static FellowTable create(Fellow self, long silenceMillis) {
+    Objects.requireNonNull(self, "self");
+    Validate.isTrue(silenceMillis > 0, "silenceMillis must be positive");
+    return new FellowTable(self, Nanos.ofMillis(silenceMillis));
+  }
+
+  /** Returns this instance. */
+  public Fellow self() {
+    return self;
+  }
+
+  /** Sets what this instance tells the others. */
+  public void own(Beat beat) {
+    own = Objects.requireNonNull(beat, "beat");
+  }
+
+  /** Returns what this instance tells the others. */
+  public Beat own() {
+    return own;
+  }
+
+  /**
+   * Learns of an instance.
+   *
+   * @param fellow the instance, not null
+   * @return whether this was news
+   */
+  public boolean learn(Fellow fellow) {
+    Entry entry = entries.get(fellow.name());
+    boolean known = entry != null && entry.fellow.incarnation() >= fellow.incarnation();
+    if (fellow.name().equals(self.name()) || known) {
+      return false;
+    }
+    if (entry == null && entries.size() >= MAX_FELLOWS) {
+      return false;
+    }
+    entries.put(fellow.name(), new Entry(fellow));
+    return true;
+  }
+
+  /**
+   * Takes a message of an instance as a sign of life.
+   *
+   * @param name name of the instance, not null
+   * @param beat what it says, not null
+   * @param now current time
+   */
+  public void onBeat(String name, Beat beat, long now) {
+    Entry entry = entries.get(name);
+    if (entry != null) {
+      entry.beat = beat;
+      entry.heardAt = now;
+      entry.connected = true;
+    }
+  }
+
+  /** Takes the loss of the link to an instance. */
+  public void onDown(String name) {
+    Entry entry = entries.get(name);
+    if (entry != null) {
+      entry.connected = false;
+    }
+  }
+
+  /** Returns all known instances but this one. */
+  public List<Fellow> all() {
+    return entries.values().stream().map(entry -> entry.fellow).toList();
+  }
+
+  /** Returns the instances that have been heard of lately, this one not included. */
+  public List<Fellow> live(long now) {
+    return entries.values().stream().filter(e -> isLive(e, now)).map(e -> e.fellow).toList();
+  }
+
+  /** Returns whether an instance has been heard of lately. */
+  public boolean isLive(String name, long now) {
+    Entry entry = entries.get(name);
+    return name.equals(self.name()) || entry != null && isLive(entry, now);
+  }
+
+  private boolean isLive(Entry entry, long now) {
+    return entry.connected && now - entry.heardAt < silenceNanos;
+  }
+
+  /** Returns the number of live instances, this one included. */
+  public int liveCount(long now) {
+    return 1 + live(now).size();
+  }
+
+  /**
+   * Returns the instance that gathers the pieces of a service. Instances that know the same live
+   * ones agree; until they do, two may gather, which costs work but breaks nothing.
+   *
+   * @param service name of the service, not null
+   * @param now current time
+   * @return name of the instance
+   */
+  public String gatherer(String service, long now) {
+    List<String> names = new ArrayList<>();
+    if (!own.leaving()) {
+      names.add(self.name());
+    }
+    entries.values().stream()
+        .filter(entry -> isLive(entry, now) && !entry.beat.leaving())
+        .forEach(entry -> names.add(entry.fellow.name()));
+    List<String> top = Rendezvous.top(names, name -> name, service, 1);
+    return top.isEmpty() ? self.name() : top.get(0);
+  }
+
+  /**
+   * Returns a live instance whose configuration or list of replicas is ahead of this one's.
+   *
+   * @param configuration whether the configuration is asked for, else the list of replicas
+   * @param now current time
+   * @return the instance that is farthest ahead, or empty if none is
+   */
+  public Optional<Fellow> ahead(boolean configuration, long now) {
+    return entries.values().stream()
+        .filter(entry -> isLive(entry, now))
+        .filter(entry -> offset(entry.beat, configuration) > offset(own, configuration))
+        .max(Comparator.comparingLong(entry -> offset(entry.beat, configuration)))
+        .map(entry -> entry.fellow);
+  }
+
+  private static long offset(Beat beat, boolean configuration) {
+    return configuration ? beat.configurationOffset() : beat.replicasOffset();
+  }
+
+  /**
+   * Returns the instances that clients may connect to, those of the client's data centre first.
+   *
+   * @param near data centre of the client, not null
+   * @param now current time
+   * @return this instance and the others, as far as they take requests
+   */
+  public List<Fellow> forClients(DataCentre near, long now) {
+    List<Fellow> ready = new ArrayList<>();
+    if (own.ready() && !own.leaving()) {
+      ready.add(self);
+    }
+    entries.values().stream()
+        .filter(entry -> isLive(entry, now) && entry.beat.ready() && !entry.beat.leaving())
+        .forEach(entry -> ready.add(entry.fellow));
+    ready.sort(Comparator.comparing(fellow -> !fellow.dataCentre().equals(near)));
+    return ready;
+  }
+
+  /** Returns the names of the given instances. */
+  public static List<String> names(Collection<Fellow> fellows) {
+    return fellows.stream().map(Fellow::name).toList();
+  }
+
+  private static final class Entry {
+    private final Fellow fellow;
+    private Beat beat = Beat.UNKNOWN;
+    private long heardAt;
+    private boolean connected;
+
+    private Entry(Fellow fellow) {
+      this.fellow = fellow;
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/LeastLoadPlacement.java
@@ -0,0 +1,36 @@
+package org.arbutusspar.core.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.arbutusspar.core.route.Rendezvous;
+
+/**
+ * Chooses the replica with the least expected wait; ties are broken differently for each request.
+ *
+ * <p>Load pattern: short requests to a few replicas with a few slots each, sent by instances that
+ * do not see each other's requests.
+ */
+public final class LeastLoadPlacement implements Placement {
+
+  private LeastLoadPlacement() {}
+
+  /** Returns the placement. */
+  public static LeastLoadPlacement create() {
+    return new LeastLoadPlacement();
+  }
+
+  @Override
+  public Optional<Candidate> choose(PlacementRequest request, List<Candidate> candidates) {
+    return candidates.stream()
+        .min(
+            Comparator.comparingDouble(LeastLoadPlacement::expectedWait)
+                .thenComparingLong(
+                    (Candidate c) -> Rendezvous.hash(request.spread() + c.replica().id())));
+  }
+
+  private static double expectedWait(Candidate candidate) {
+    double perSlot = (1 + candidate.load()) / Math.max(1, candidate.replica().slots());
+    return Math.max(1, perSlot) * candidate.cost();
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/RepeatRules.java
@@ -0,0 +1,35 @@
+package org.arbutusspar.core.placement;
+
+import org.arbutusspar.core.routing.Route;
+
+/** Decides whether a request goes to another replica, and what its client may be told. */
+public final class RepeatRules {
+
+  private RepeatRules() {}
+
+  /**
+   * Returns whether a request may go to another replica, the retry budget aside.
+   *
+   * @param route the request's route, not null
+   * @param verdict how the last attempt ended, not null
+   * @param sent attempts that were handed to a replica so far
+   * @return true if another attempt keeps what the route promises
+   */
+  public static boolean mayRepeat(Route route, SendVerdict verdict, int sent) {
+    return switch (verdict) {
+      case NOT_SENT -> true;
+      case NOT_RUN -> sent < route.maxAttempts();
+      case FAILED, UNKNOWN -> route.isRepeatable() && sent < route.maxAttempts();
+    };
+  }
+
+  /**
+   * Returns whether an attempt that follows counts against the retry budget.
+   *
+   * @param sent attempts that were handed to a replica so far
+   * @return true if a replica has seen the request before
+   */
+  public static boolean needsBudget(int sent) {
+    return sent > 0;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
@@ -0,0 +1,189 @@
+package org.arbutusspar.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.arbutusspar.core.id.DataCentre;
+
+/** The listed replicas of all services, with what this instance knows of their load and health. */
+public final class ReplicaBook {
+
+  /** Weight of the share of failed answers in the expected time of a request. */
+  private static final double FAILURE_COST = 8;
+
+  /** Requests beyond its slots that a replica is given before it counts as full. */
+  private static final double QUEUE_PER_SLOT = 1;
+
+  /** Share of a service's replicas that may be passed over because of failures. */
+  private static final double MAX_PAUSED_SHARE = 0.5;
+
+  private final DataCentre home;
+  private Map<String, List<UpstreamReplica>> byService = Map.of();
+  private Map<String, UpstreamReplica> byId = Map.of();
+  private final Map<String, ReplicaLoad> loads = new HashMap<>();
+
+  private ReplicaBook(DataCentre home) {
+    this.home = home;
+  }
+
+  /**
+   * Returns a book without replicas.
+   *
+   * @param home data centre of this instance, not null
+   * @return the book
+   */
+  public static ReplicaBook create(DataCentre home) {
+    return new ReplicaBook(Objects.requireNonNull(home, "home"));
+  }
+
+  /**
+   * Replaces the listed replicas.
+   *
+   * @param listed all replicas, those that are leaving included, not null
+   */
+  public void replace(Collection<UpstreamReplica> listed) {
+    Map<String, List<UpstreamReplica>> grouped = new LinkedHashMap<>();
+    Map<String, UpstreamReplica> ids = new LinkedHashMap<>();
+    Map<String, ReplicaLoad> known = new HashMap<>();
+    for (UpstreamReplica replica : listed) {
+      if (!replica.leaving()) {
+        grouped.computeIfAbsent(replica.service(), s -> new ArrayList<>()).add(replica);
+      }
+      ids.put(replica.id(), replica);
+      known.put(replica.id(), loads.getOrDefault(replica.id(), new ReplicaLoad()));
+    }
+    loads.entrySet().removeIf(e -> !known.containsKey(e.getKey()) && e.getValue().inFlight() == 0);
+    loads.putAll(known);
+    byService = grouped;
+    byId = ids;
+  }
+
+  /** Returns a listed replica, leaving or not, or empty if it is not listed. */
+  public Optional<UpstreamReplica> find(String id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+
+  /** Returns the listed replicas that a fresh list lacks. */
+  public List<UpstreamReplica> missingFrom(Collection<UpstreamReplica> fresh) {
+    Set<String> ids = new HashSet<>();
+    fresh.forEach(replica -> ids.add(replica.id()));
+    return byId.values().stream().filter(replica -> !ids.contains(replica.id())).toList();
+  }
+
+  /** Returns the replicas of a service that are not leaving. */
+  public List<UpstreamReplica> usable(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /**
+   * Returns the replica that a request should go to.
+   *
+   * @param request what it is chosen for, not null
+   * @param placement how to choose, not null
+   * @param now current time
+   * @return the replica, or empty if none has room
+   */
+  public Optional<UpstreamReplica> choose(PlacementRequest request, Placement placement, long now) {
+    List<UpstreamReplica> listed =
+        usable(request.service()).stream()
+            .filter(replica -> !request.excluded().contains(replica.id()))
+            .toList();
+    List<UpstreamReplica> healthy =
+        listed.stream().filter(replica -> !load(replica).isPaused(now)).toList();
+    boolean enough = healthy.size() >= listed.size() * (1 - MAX_PAUSED_SHARE);
+    List<Placement.Candidate> candidates =
+        (enough ? healthy : listed)
+            .stream()
+                .filter(replica -> hasRoom(replica, now))
+                .map(replica -> candidate(replica, now))
+                .toList();
+    return placement.choose(request, candidates).map(Placement.Candidate::replica);
+  }
+
+  private boolean hasRoom(UpstreamReplica replica, long now) {
+    double most = Math.max(1, replica.slots()) * (1 + QUEUE_PER_SLOT);
+    return load(replica).estimate(now) < most;
+  }
+
+  private Placement.Candidate candidate(UpstreamReplica replica, long now) {
+    ReplicaLoad load = load(replica);
+    double cost = relativeTime(replica) * (1 + FAILURE_COST * load.failureShare());
+    boolean near = replica.dataCentre().equals(home);
+    return new Placement.Candidate(replica, load.estimate(now), cost, near);
+  }
+
+  private double relativeTime(UpstreamReplica replica) {
+    double own = load(replica).millis();
+    double mean =
+        usable(replica.service()).stream()
+            .mapToDouble(each -> load(each).millis())
+            .filter(millis -> millis > 0)
+            .average()
+            .orElse(0);
+    return own == 0 || mean == 0 ? 1 : Math.max(0.5, own / mean);
+  }
+
+  private ReplicaLoad load(UpstreamReplica replica) {
+    return loads.computeIfAbsent(replica.id(), id -> new ReplicaLoad());
+  }
+
+  /** Returns the number of requests that the replicas of a service can take now, estimated. */
+  public double freePlaces(String service, long now) {
+    return usable(service).stream()
+        .mapToDouble(r -> Math.max(0, r.slots() - load(r).estimate(now)))
+        .sum();
+  }
+
+  /** Counts a request that is sent. */
+  public void onSent(UpstreamReplica replica) {
+    load(replica).onSent();
+  }
+
+  /** Counts a request that ended in whatever way. */
+  public void onEnded(UpstreamReplica replica) {
+    load(replica).onEnded();
+  }
+
+  /**
+   * Takes a replica's own report of its load.
+   *
+   * @param replica the replica, not null
+   * @param runningAndWaiting requests at the replica
+   * @param now current time
+   */
+  public void onReport(UpstreamReplica replica, int runningAndWaiting, long now) {
+    load(replica).onReport(runningAndWaiting, now);
+  }
+
+  /**
+   * Counts a sound answer.
+   *
+   * @param replica the replica, not null
+   * @param millis time until the answer in milliseconds
+   */
+  public void onAnswer(UpstreamReplica replica, double millis) {
+    load(replica).onAnswer(millis);
+  }
+
+  /** Counts an answer that says that the request failed at the replica. */
+  public void onFailedAnswer(UpstreamReplica replica) {
+    load(replica).onFailedAnswer();
+  }
+
+  /**
+   * Counts a request that could not be sent or got no usable answer.
+   *
+   * @param replica the replica, not null
+   * @param now current time
+   */
+  public void onBroken(UpstreamReplica replica, long now) {
+    load(replica).onBroken(now);
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WindowedRetryBudget.java
@@ -0,0 +1,104 @@
+package org.arbutusspar.core.placement;
+
+import java.util.Arrays;
+import org.apache.commons.lang3.Validate;
+import org.arbutusspar.core.Nanos;
+
+/**
+ * Bounds how many extra requests one instance sends to a service within a sliding window, so that
+ * all instances together stay within a share of the requests plus a fixed allowance.
+ *
+ * <p>Load pattern: a service that fails a part of its requests while clients come back at once.
+ */
+public final class WindowedRetryBudget {
+
+  private static final int SLICES_PER_WINDOW = 20;
+
+  private final double ratio;
+  private final long sliceNanos;
+  private final int[] requests = new int[SLICES_PER_WINDOW + 1];
+  private final int[] extras = new int[SLICES_PER_WINDOW + 1];
+  private long current;
+  private boolean used;
+
+  private WindowedRetryBudget(double ratio, long windowMillis) {
+    this.ratio = ratio;
+    this.sliceNanos = Nanos.ofMillis(windowMillis) / SLICES_PER_WINDOW;
+  }
+
+  /**
+   * Returns an unused budget.
+   *
+   * @param ratio extra requests for each request, not negative
+   * @param windowMillis length of the window in milliseconds, positive
+   * @return the budget
+   */
+  public static WindowedRetryBudget create(double ratio, long windowMillis) {
+    Validate.isTrue(ratio >= 0, "ratio must not be negative");
+    Validate.isTrue(windowMillis >= SLICES_PER_WINDOW, "window must have at least 20 ms");
+    return new WindowedRetryBudget(ratio, windowMillis);
+  }
+
+  /**
+   * Counts a client's request.
+   *
+   * @param now current time
+   */
+  public void onRequest(long now) {
+    advance(now);
+    requests[slot(current)]++;
+  }
+
+  /**
+   * Takes the right to one extra request.
+   *
+   * @param allowance this instance's part of the fixed allowance
+   * @param now current time
+   * @return true if the request may be sent
+   */
+  public boolean tryTake(double allowance, long now) {
+    advance(now);
+    if (sum(extras) + 1 > ratio * sum(requests) + allowance) {
+      return false;
+    }
+    extras[slot(current)]++;
+    return true;
+  }
+
+  /**
+   * Counts an extra request that was sent whatever the budget says.
+   *
+   * @param now current time
+   */
+  public void onExtra(long now) {
+    advance(now);
+    extras[slot(current)]++;
+  }
+
+  private void advance(long now) {
+    long slice = Math.floorDiv(now, sliceNanos);
+    if (!used || slice - current > SLICES_PER_WINDOW) {
+      Arrays.fill(requests, 0);
+      Arrays.fill(extras, 0);
+      current = slice;
+      used = true;
+    }
+    while (current < slice) {
+      current++;
+      requests[slot(current)] = 0;
+      extras[slot(current)] = 0;
+    }
+  }
+
+  private int slot(long slice) {
+    return (int) Math.floorMod(slice, (long) requests.length);
+  }
+
+  private static int sum(int[] counts) {
+    int sum = 0;
+    for (int count : counts) {
+      sum += count;
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -0,0 +1,368 @@
+package org.arbutusspar.core.stage;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.PieceLimits;
+
+/**
+ * Gathers the pieces of one service from all instances and puts them into calls to its replicas.
+ *
+ * <p>Load pattern: a call costs a fixed time before its first piece, and many instances each have a
+ * few pieces. One queue for all of them fills the calls; a replica that becomes free takes what has
+ * gathered meanwhile, so calls grow with the load and nothing waits for a fuller call.
+ *
+ * <p>Results take memory at their replica from the start of their call until they are released or
+ * expire; a call is made only where its results fit.
+ */
+public final class PieceGatherer {
+
+  /** A piece is given up after this many failed calls. */
+  public static final int MAX_ATTEMPTS = 3;
+
+  private static final double RATIO_WEIGHT = 0.3;
+  private static final double MAX_RATIO = 20;
+  private static final long FIRST_PAUSE_MILLIS = 250;
+  private static final int MAX_PAUSE_DOUBLINGS = 3;
+
+  private final String service;
+  private final PieceOrder order;
+  private final Map<PieceId, Piece> queue = new LinkedHashMap<>();
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Map<Long, PieceCall> calls = new HashMap<>();
+  private final Map<String, Kept> kept = new HashMap<>();
+  private final Set<PieceId> cancelledInCall = new HashSet<>();
+  private PieceLimits limits;
+  private long lastNumber;
+
+  private PieceGatherer(String service, PieceLimits limits, PieceOrder order) {
+    this.service = service;
+    this.limits = limits;
+    this.order = order;
+  }
+
+  /**
+   * Returns a gatherer without pieces and replicas.
+   *
+   * @param service name of the service, not null
+   * @param limits what a replica can do, not null
+   * @param order order of waiting pieces, not null
+   * @return the gatherer
+   */
+  public static PieceGatherer create(String service, PieceLimits limits, PieceOrder order) {
+    Objects.requireNonNull(service, "service");
+    Objects.requireNonNull(limits, "limits");
+    Objects.requireNonNull(order, "order");
+    return new PieceGatherer(service, limits, order);
+  }
+
+  /** Returns the name of the service. */
+  public String service() {
+    return service;
+  }
+
+  /** Replaces the limits of a replica; calls that have been made are not affected. */
+  public void limits(PieceLimits fresh) {
+    limits = Objects.requireNonNull(fresh, "fresh");
+  }
+
+  /**
+   * Replaces the replicas that may be called.
+   *
+   * @param usable replicas of the service that are listed and not leaving, not null
+   */
+  public void replicas(List<UpstreamReplica> usable) {
+    Set<String> ids = new HashSet<>();
+    for (UpstreamReplica replica : usable) {
+      ids.add(replica.id());
+      workers.computeIfAbsent(replica.id(), id -> new Worker()).replica = replica;
+    }
+    workers.forEach((id, worker) -> worker.listed = ids.contains(id));
+    workers.values().removeIf(worker -> !worker.listed && worker.calls == 0);
+  }
+
+  /** Adds a piece. A piece that waits already is replaced. */
+  public void submit(Piece piece) {
+    cancelledInCall.remove(piece.id());
+    queue.put(piece.id(), piece);
+  }
+
+  /**
+   * Drops the waiting pieces of a request; results of those being made are released when they come.
+   *
+   * @param requestId identifier of the request, not null
+   * @return number of waiting pieces that were dropped
+   */
+  public int cancel(String requestId) {
+    int before = queue.size();
+    queue.keySet().removeIf(id -> id.requestId().equals(requestId));
+    for (PieceCall call : calls.values()) {
+      call.pieces().stream()
+          .map(Piece::id)
+          .filter(id -> id.requestId().equals(requestId))
+          .forEach(cancelledInCall::add);
+    }
+    return before - queue.size();
+  }
+
+  /**
+   * Removes the waiting pieces whose results would come too late.
+   *
+   * @param now current time
+   * @return the removed pieces
+   */
+  public List<Piece> expire(long now) {
+    List<Piece> late =
+        queue.values().stream().filter(piece -> now - piece.deadline() >= 0).toList();
+    late.forEach(piece -> queue.remove(piece.id()));
+    return late;
+  }
+
+  /**
+   * Returns the calls to make now; they count as made.
+   *
+   * @param now current time
+   * @return the calls
+   */
+  public List<PieceCall> nextCalls(long now) {
+    List<PieceCall> next = new ArrayList<>();
+    kept.values().removeIf(result -> dropIfExpired(result, now));
+    while (!queue.isEmpty()) {
+      Optional<PieceCall> call = nextCall(now);
+      if (call.isEmpty()) {
+        break;
+      }
+      next.add(call.get());
+    }
+    return next;
+  }
+
+  private Optional<PieceCall> nextCall(long now) {
+    List<Worker> free =
+        workers.values().stream()
+            .filter(worker -> worker.isFree(limits.slots(), now))
+            .sorted(Comparator.comparingDouble((Worker worker) -> worker.ratio))
+            .toList();
+    for (Worker worker : free) {
+      List<Piece> pieces = selectFor(worker, now);
+      if (!pieces.isEmpty()) {
+        return Optional.of(begin(worker, pieces, now));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private List<Piece> selectFor(Worker worker, long now) {
+    long room = limits.roomBytes() - worker.usedBytes;
+    List<Piece> selected = new ArrayList<>();
+    List<Piece> sorted = queue.values().stream().sorted(order.at(now)).toList();
+    for (Piece piece : sorted) {
+      if (selected.size() >= limits.batch()) {
+        break;
+      }
+      if (piece.resultBytes() <= room) {
+        selected.add(piece);
+        room -= piece.resultBytes();
+      }
+    }
+    return selected;
+  }
+
+  private PieceCall begin(Worker worker, List<Piece> pieces, long now) {
+    long expected = Nanos.ofMillis((long) (limits.millis(pieces.size()) * worker.ratio));
+    PieceCall call = new PieceCall(++lastNumber, worker.replica, pieces, now, expected);
+    pieces.forEach(piece -> queue.remove(piece.id()));
+    worker.calls++;
+    worker.usedBytes += pieces.stream().mapToLong(Piece::resultBytes).sum();
+    calls.put(call.number(), call);
+    return call;
+  }
+
+  /**
+   * Takes the answer to a call.
+   *
+   * @param number number of the call
+   * @param results handle or reason for each piece, in the order of the call, not null
+   * @param self name of this instance, not null
+   * @param now current time
+   * @return what became of the pieces; those that are tried again are left out
+   */
+  public Completion complete(long number, List<PieceAnswer> results, String self, long now) {
+    PieceCall call = calls.remove(number);
+    if (call == null) {
+      return Completion.NOTHING;
+    }
+    if (results.size() != call.pieces().size()) {
+      calls.put(number, call);
+      return fail(number, false, now);
+    }
+    Worker worker = workers.get(call.replica().id());
+    end(call, worker);
+    worker.learn((now - call.startedAt()) / Math.max(1.0, call.expectedNanos()));
+    Completion completion = new Completion(new ArrayList<>(), new ArrayList<>());
+    for (int i = 0; i < results.size(); i++) {
+      take(call.pieces().get(i), results.get(i), worker, self, now, completion);
+    }
+    return completion;
+  }
+
+  private void take(
+      Piece piece, PieceAnswer answer, Worker worker, String self, long now, Completion into) {
+    if (answer.handle().isPresent()) {
+      StageResult result = new StageResult(answer.handle().get(), self, piece.resultBytes());
+      if (cancelledInCall.remove(piece.id())) {
+        into.unwanted().add(result);
+        return;
+      }
+      worker.usedBytes += piece.resultBytes();
+      long expiresAt = now + Nanos.ofMillis(limits.keepMillis());
+      kept.put(result.handle(), new Kept(worker, piece.resultBytes(), expiresAt));
+      into.outcomes().add(PieceOutcome.made(piece.id(), result));
+      return;
+    }
+    if (cancelledInCall.remove(piece.id())) {
+      return;
+    }
+    boolean again = answer.mayTryAgain() && piece.attempts() + 1 < MAX_ATTEMPTS;
+    if (again && now - piece.deadline() < 0) {
+      queue.put(piece.id(), piece.failedOnce());
+    } else {
+      into.outcomes().add(PieceOutcome.none(piece.id(), answer.reason()));
+    }
+  }
+
+  /**
+   * Takes the failure of a call. Its pieces wait again, unless they have failed too often.
+   *
+   * @param number number of the call
+   * @param wasFull whether the replica said that it has no place for the call
+   * @param now current time
+   * @return outcomes of the pieces that are given up
+   */
+  public Completion fail(long number, boolean wasFull, long now) {
+    PieceCall call = calls.remove(number);
+    if (call == null) {
+      return Completion.NOTHING;
+    }
+    Worker worker = workers.get(call.replica().id());
+    end(call, worker);
+    worker.pause(now);
+    Completion completion = new Completion(new ArrayList<>(), new ArrayList<>());
+    for (Piece piece : call.pieces()) {
+      boolean cancelled = cancelledInCall.remove(piece.id());
+      Piece next = wasFull ? piece : piece.failedOnce();
+      if (!cancelled && next.attempts() < MAX_ATTEMPTS && now - piece.deadline() < 0) {
+        queue.put(piece.id(), next);
+      } else if (!cancelled) {
+        completion.outcomes().add(PieceOutcome.none(piece.id(), PieceOutcome.FAILED));
+      }
+    }
+    return completion;
+  }
+
+  private void end(PieceCall call, Worker worker) {
+    worker.calls--;
+    worker.usedBytes -= call.pieces().stream().mapToLong(Piece::resultBytes).sum();
+  }
+
+  /** Accounts for a result that is released; returns whether this gatherer knew of it. */
+  public boolean release(String handle) {
+    Kept result = kept.remove(handle);
+    if (result != null) {
+      result.worker().usedBytes -= result.bytes();
+    }
+    return result != null;
+  }
+
+  private static boolean dropIfExpired(Kept result, long now) {
+    boolean expired = now - result.expiresAt() >= 0;
+    if (expired) {
+      result.worker().usedBytes -= result.bytes();
+    }
+    return expired;
+  }
+
+  /** Returns the number of waiting pieces. */
+  public int waiting() {
+    return queue.size();
+  }
+
+  /** Returns the number of calls in progress. */
+  public int callsInProgress() {
+    return calls.size();
+  }
+
+  /**
+   * Returns how long the pieces that wait now keep the replicas busy.
+   *
+   * @return the time in milliseconds; infinite if there is no replica
+   */
+  public double backlogMillis() {
+    double perSecond =
+        workers.values().stream()
+            .filter(worker -> worker.listed)
+            .mapToDouble(worker -> limits.piecesPerSecond() / worker.ratio)
+            .sum();
+    return queue.isEmpty() ? 0 : queue.size() * 1_000.0 / perSecond;
+  }
+
+  /** Returns when a paused replica may be called again, or the largest value if none is paused. */
+  public long nextWakeUp(long now) {
+    return workers.values().stream()
+        .filter(worker -> worker.listed && worker.pausedUntil - now > 0)
+        .mapToLong(worker -> worker.pausedUntil)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  /**
+   * What became of the pieces of a call.
+   *
+   * @param outcomes outcomes to tell the origins of
+   * @param unwanted results that nobody waits for any more, to be released
+   */
+  public record Completion(List<PieceOutcome> outcomes, List<StageResult> unwanted) {
+    /** Nothing became of anything. */
+    public static final Completion NOTHING = new Completion(List.of(), List.of());
+  }
+
+  /** A result at a replica. */
+  private record Kept(Worker worker, long bytes, long expiresAt) {}
+
+  /** A replica as this gatherer sees it. */
+  private static final class Worker {
+    private UpstreamReplica replica;
+    private boolean listed = true;
+    private int calls;
+    private long usedBytes;
+    private double ratio = 1;
+    private int failures;
+    private long pausedUntil;
+
+    private boolean isFree(int slots, long now) {
+      return listed && calls < slots && now - pausedUntil >= 0;
+    }
+
+    private void learn(double actualOverExpected) {
+      failures = 0;
+      double observed = ratio * actualOverExpected;
+      ratio += RATIO_WEIGHT * (observed - ratio);
+      ratio = Math.min(MAX_RATIO, Math.max(1.0 / MAX_RATIO, ratio));
+    }
+
+    private void pause(long now) {
+      int doublings = Math.min(failures, MAX_PAUSE_DOUBLINGS);
+      pausedUntil = now + Nanos.ofMillis(FIRST_PAUSE_MILLIS << doublings);
+      failures++;
+    }
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryMain.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryMain.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
+import org.arbutusspar.entry.gateway.GatewayMain;
 import org.arbutusspar.io.StepException;
 
 /**
@@ -23,6 +24,9 @@
             + " ARBUTUSSPAR_ and its name in upper case, with underscores; an option wins.")
 public final class EntryMain {
 
+  /** Runs the instance on the users' platform, which tells it its settings in a file. */
+  private static final String PLATFORM_COMMAND = "platform";
+
   private static final int EXIT_SETTINGS = 2;
   private static final int EXIT_START = 3;
 
@@ -75,8 +79,9 @@
    * @throws InterruptedException if the wait is interrupted
    */
   public static void main(String[] args) throws InterruptedException {
-    int code = run(args);
-    if (code != 0) {
+    boolean onPlatform = args.length == 1 && args[0].equals(PLATFORM_COMMAND);
+    int code = onPlatform ? GatewayMain.run() : run(args);
+    if (code != 0 || onPlatform) {
       System.exit(code);
     }
   }
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
@@ -0,0 +1,115 @@
+package org.arbutusspar.entry.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.arbutusspar.io.http.HeaderField;
+import org.arbutusspar.io.http.StreamHost;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * The client's side of a request: at most one answer is begun, and one that cannot be finished is
+ * cut so that it does not look complete. Safe for use by several threads.
+ */
+final class ClientExchange {
+
+  private enum State {
+    OPEN,
+    BEGUN,
+    ENDED
+  }
+
+  private final Request request;
+  private final Response response;
+  private final Callback callback;
+  private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
+
+  private ClientExchange(Request request, Response response, Callback callback) {
+    this.request = request;
+    this.response = response;
+    this.callback = callback;
+  }
+
+  static ClientExchange create(Request request, Response response, Callback callback) {
+    return new ClientExchange(request, response, callback);
+  }
+
+  /** Calls a task once if the client closes the connection before the answer's end. */
+  void watch(Runnable closed) {
+    StreamHost.watch(request, closed);
+  }
+
+  /** Returns whether no answer has been begun. */
+  boolean isOpen() {
+    return state.get() == State.OPEN;
+  }
+
+  /** Makes this the last answer on its connection. */
+  void closeAfter() {
+    if (isOpen()) {
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
+  }
+
+  /**
+   * Answers with a whole body.
+   *
+   * @return whether the answer was taken; it is not if another one has been begun
+   */
+  boolean reply(int status, List<HeaderField> fields, ByteBuffer body) {
+    if (!state.compareAndSet(State.OPEN, State.ENDED)) {
+      return false;
+    }
+    StreamHost.unwatch(request);
+    head(status, fields);
+    response.write(true, body, callback);
+    return true;
+  }
+
+  /** Begins an answer; returns whether it was begun, which it is not if there is another. */
+  boolean begin(int status, List<HeaderField> fields) {
+    if (!state.compareAndSet(State.OPEN, State.BEGUN)) {
+      return false;
+    }
+    head(status, fields);
+    return true;
+  }
+
+  private void head(int status, List<HeaderField> fields) {
+    response.setStatus(status);
+    fields.forEach(field -> response.getHeaders().add(field.name(), field.value()));
+  }
+
+  /**
+   * Passes on a part of an answer that was begun.
+   *
+   * @param part the part, not null
+   * @param written run once the part is written; not run if it cannot be
+   */
+  void write(ByteBuffer part, Runnable written) {
+    if (state.get() == State.BEGUN) {
+      response.write(false, part, Callback.from(written, cause -> {}));
+    }
+  }
+
+  /** Ends an answer that was begun. */
+  void end() {
+    if (state.compareAndSet(State.BEGUN, State.ENDED)) {
+      StreamHost.unwatch(request);
+      response.write(true, ByteBuffer.allocate(0), callback);
+    }
+  }
+
+  /** Cuts the connection; an answer that was begun stays incomplete. */
+  void cut(Throwable cause) {
+    State before = state.getAndSet(State.ENDED);
+    if (before != State.ENDED) {
+      StreamHost.unwatch(request);
+      request.getConnectionMetaData().getConnection().getEndPoint().close(cause);
+      callback.failed(cause);
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/DeadlineLoop.java
@@ -0,0 +1,178 @@
+package org.arbutusspar.entry.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.io.KeyValueLine;
+
+/**
+ * The one thread on which an instance decides. It runs tasks in the order in which they are posted,
+ * and timers when they are due; it sleeps until the next of either.
+ */
+final class DeadlineLoop implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(DeadlineLoop.class);
+  private static final long STOP_MILLIS = 1_000;
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition work = lock.newCondition();
+  private final Deque<Runnable> tasks = new ArrayDeque<>();
+  private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+  private final Thread thread = new Thread(this::run, "decisions");
+  private long lastNumber;
+  private boolean stopped;
+
+  private DeadlineLoop() {}
+
+  /** Returns a started loop. */
+  static DeadlineLoop start() {
+    DeadlineLoop loop = new DeadlineLoop();
+    loop.thread.setDaemon(true);
+    loop.thread.start();
+    return loop;
+  }
+
+  /** Returns the current time on the steady clock in nanoseconds. */
+  long now() {
+    return System.nanoTime();
+  }
+
+  /** Runs a task on the loop's thread. */
+  void post(Runnable task) {
+    lock.lock();
+    try {
+      tasks.add(task);
+      if (Thread.currentThread() != thread) {
+        work.signal();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Runs a task later on the loop's thread.
+   *
+   * @param millis delay in milliseconds
+   * @param task the task, not null
+   * @return the timer, which can be cancelled
+   */
+  Timer after(long millis, Runnable task) {
+    return at(now() + Nanos.ofMillis(millis), task);
+  }
+
+  /**
+   * Runs a task at a time on the loop's thread.
+   *
+   * @param time the time
+   * @param task the task, not null
+   * @return the timer, which can be cancelled
+   */
+  Timer at(long time, Runnable task) {
+    lock.lock();
+    try {
+      Timer timer = new Timer(time, ++lastNumber, task);
+      timers.add(timer);
+      if (Thread.currentThread() != thread && timers.peek() == timer) {
+        work.signal();
+      }
+      return timer;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void run() {
+    while (true) {
+      Runnable next = next();
+      if (next == null) {
+        return;
+      }
+      try {
+        next.run();
+      } catch (RuntimeException e) {
+        LOG.error(KeyValueLine.event("task-failed").with("error", e), e);
+      }
+    }
+  }
+
+  private Runnable next() {
+    lock.lock();
+    try {
+      while (!stopped) {
+        while (!timers.isEmpty() && timers.peek().cancelled) {
+          timers.poll();
+        }
+        Timer first = timers.peek();
+        long wait = first == null ? Long.MAX_VALUE : first.time - now();
+        if (wait <= 0) {
+          return timers.poll().task;
+        }
+        if (!tasks.isEmpty()) {
+          return tasks.poll();
+        }
+        await(wait);
+      }
+      return null;
+    } catch (InterruptedException e) {
+      return null;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void await(long nanos) throws InterruptedException {
+    if (nanos == Long.MAX_VALUE) {
+      work.await();
+    } else {
+      work.await(nanos, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  @Override
+  public void close() {
+    lock.lock();
+    try {
+      stopped = true;
+      work.signal();
+    } finally {
+      lock.unlock();
+    }
+    try {
+      thread.join(STOP_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** A task that runs at a time unless it is cancelled. */
+  static final class Timer implements Comparable<Timer> {
+    private final long time;
+    private final long number;
+    private final Runnable task;
+    private volatile boolean cancelled;
+
+    private Timer(long time, long number, Runnable task) {
+      this.time = time;
+      this.number = number;
+      this.task = task;
+    }
+
+    /** Keeps the task from running. */
+    void cancel() {
+      cancelled = true;
+    }
+
+    @Override
+    public int compareTo(Timer other) {
+      int byTime = Long.compare(time - other.time, 0);
+      return byTime != 0 ? byTime : Long.compare(number, other.number);
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -0,0 +1,461 @@
+package org.arbutusspar.entry.gateway;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.fellow.Beat;
+import org.arbutusspar.core.fellow.Fellow;
+import org.arbutusspar.core.fellow.FellowTable;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.placement.ReplicaBook;
+import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.io.EventLog;
+import org.arbutusspar.io.http.HeaderField;
+import org.arbutusspar.io.http.RawClient;
+import org.arbutusspar.io.http.StreamHost;
+import org.arbutusspar.io.link.FellowCodec;
+import org.arbutusspar.io.link.FellowMessage;
+import org.arbutusspar.platform.AddressQuestion;
+import org.arbutusspar.platform.ConfigurationReader;
+import org.arbutusspar.platform.KeyedRecord;
+import org.arbutusspar.platform.PlatformSettings;
+import org.arbutusspar.platform.ReplicaReader;
+import org.arbutusspar.platform.StoreClient;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** An entry instance on the platform, from its start to its shutdown. */
+public final class Gateway implements AutoCloseable {
+
+  private static final int MAX_THREADS = 24;
+  private static final int MIN_THREADS = 8;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+  private static final int NOT_FOUND = 404;
+  private static final int LOG_LINES_PER_SECOND = 200;
+  private static final int METRICS_PORT = 9464;
+
+  /** Longest time for making a connection to a replica. */
+  private static final long CONNECT_MILLIS = 800;
+
+  /** Connections without a call are closed after this; replicas close theirs later. */
+  private static final long IDLE_MILLIS = 4_000;
+
+  /** How long a call for the configuration waits: a silent connection is noticed after it. */
+  private static final Feed.Pace CONFIGURATION_PACE = new Feed.Pace(1_200, 0);
+
+  /** Replicas write all the time, so reads are spaced out; a leaving one is noticed within it. */
+  private static final Feed.Pace REPLICAS_PACE = new Feed.Pace(1_000, 600);
+
+  /** Instances come and go seldom. */
+  private static final Feed.Pace INSTANCES_PACE = new Feed.Pace(5_000, 100);
+
+  /** How long clients keep an address answer. */
+  private static final long ADDRESS_LIFE_MILLIS = 2_000;
+
+  private static final long ANNOUNCE_PAUSE_MILLIS = 500;
+
+  /** Shutdown takes at least this long, so that clients learn of other addresses. */
+  private static final long LEAVE_MILLIS = 3_000;
+
+  /** Time kept back of the time that a shutdown may take. */
+  private static final long EXIT_MARGIN_MILLIS = 700;
+
+  private static final long LEAVE_STEP_MILLIS = 50;
+
+  private final PlatformSettings settings;
+  private final EventLog log = EventLog.create(LOG_LINES_PER_SECOND);
+  private final GatewayMetrics metrics = GatewayMetrics.create();
+  private final DeadlineLoop loop = DeadlineLoop.start();
+  private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+  private final RawClient client;
+  private final StoreClient store;
+  private final StreamHost host;
+  private final FellowTable fellows;
+  private final FellowNet net;
+  private final ReplicaBook replicas;
+  private final PieceWork pieces;
+  private final ClientHandler clients;
+  private final Feed configuration;
+  private final Feed listed;
+  private final Feed instances;
+  private final Set<String> behind = new HashSet<>();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private volatile boolean leaving;
+  private volatile boolean ready;
+  private ServingState state;
+  private long stateOffset = -1;
+
+  private Gateway(PlatformSettings settings, long incarnation) {
+    this.settings = settings;
+    threads.setName("http");
+    client = RawClient.start(settings.address(), threads, CONNECT_MILLIS, IDLE_MILLIS);
+    store = StoreClient.create(client, settings.store());
+    host = StreamHost.create(threads);
+    Fellow self =
+        new Fellow(
+            settings.instance(),
+            incarnation,
+            settings.dataCentre(),
+            settings.links(),
+            settings.clients());
+    fellows = FellowTable.create(self, FellowNet.SILENCE_MILLIS);
+    net = FellowNet.create(fellows, loop, log, settings.seeds(), new FellowEvents());
+    replicas = ReplicaBook.create(settings.dataCentre());
+    pieces = new PieceWork(fellows, net, replicas, client, loop, log);
+    RequestContext context =
+        RequestContext.create(
+            loop, client, replicas, pieces, fellows, settings.bounds(), log, metrics);
+    clients = new ClientHandler(context);
+    configuration =
+        feed(StoreClient.CONFIGURATION_TOPIC, CONFIGURATION_PACE, this::onConfiguration);
+    listed = feed(StoreClient.REPLICAS_TOPIC, REPLICAS_PACE, this::onReplicas);
+    instances = feed(StoreClient.INSTANCES_TOPIC, INSTANCES_PACE, this::onInstances);
+  }
+
+  private Feed feed(String topic, Feed.Pace pace, Feed.Listener listener) {
+    return Feed.create(topic, store, loop, log, pace, listener);
+  }
+
+  /**
+   * Starts an instance.
+   *
+   * @param settings its settings, not null
+   * @return the instance, to be closed by whoever asked for it
+   */
+  public static Gateway start(PlatformSettings settings) {
+    Gateway gateway = new Gateway(settings, System.currentTimeMillis());
+    gateway.open();
+    return gateway;
+  }
+
+  private void open() {
+    log.write(
+        "start",
+        "instance",
+        settings.instance(),
+        "data_centre",
+        settings.dataCentre(),
+        "clients",
+        settings.clients(),
+        "links",
+        settings.links(),
+        "store",
+        settings.store());
+    registerGauges();
+    host.add(settings.clients(), clients);
+    host.add(settings.readiness(), this::answerReadiness);
+    if (settings.directory() != null) {
+      host.add(settings.directory(), this::answerAddresses);
+    }
+    host.add(new Endpoint(settings.address(), METRICS_PORT), this::answerMetrics);
+    host.start();
+    loop.post(
+        () -> {
+          net.start();
+          configuration.start();
+          listed.start();
+          instances.start();
+          announce();
+        });
+  }
+
+  private void registerGauges() {
+    metrics.gauge("arbutusspar_active_requests", "Requests that have not ended", clients::active);
+    metrics.gauge(
+        "arbutusspar_configuration_offset",
+        "Offset of the configuration in force",
+        () -> stateOffset);
+    metrics.gauge(
+        "arbutusspar_live_instances",
+        "Instances heard of lately, this one included",
+        () -> fellows.liveCount(loop.now()));
+  }
+
+  private void announce() {
+    if (leaving) {
+      return;
+    }
+    byte[] self = FellowCodec.encode(new FellowMessage.Hello(fellows.self(), List.of()), 0);
+    store
+        .append(StoreClient.INSTANCES_TOPIC, settings.instance(), Optional.of(self))
+        .whenComplete(
+            (done, failure) ->
+                loop.post(
+                    () -> {
+                      if (failure != null) {
+                        log.write("announce-failed", "error", failure.getMessage());
+                        loop.after(ANNOUNCE_PAUSE_MILLIS, this::announce);
+                      }
+                    }));
+  }
+
+  private void onConfiguration(Feed feed, boolean changed) {
+    KeyedRecord record = feed.rows().get(StoreClient.CONFIGURATION_KEY);
+    if (record != null && record.value().isPresent() && record.offset() > stateOffset) {
+      apply(record);
+    }
+    updateBeat();
+  }
+
+  private void apply(KeyedRecord record) {
+    ServingState fresh;
+    try {
+      fresh = ConfigurationReader.read(record.value().orElseThrow());
+    } catch (IOException e) {
+      log.write("configuration-malformed", "offset", record.offset(), "error", e.getMessage());
+      return;
+    }
+    if (state != null && fresh.version() <= state.version()) {
+      stateOffset = Math.max(stateOffset, record.offset());
+      return;
+    }
+    state = fresh;
+    stateOffset = record.offset();
+    host.headerBytes(fresh.limits().headerBytes());
+    host.idleMillis(fresh.limits().idleMillis());
+    pieces.onState(fresh);
+    clients.state(fresh);
+    ready = !leaving;
+    log.write(
+        "configuration",
+        "version",
+        fresh.version(),
+        "offset",
+        record.offset(),
+        "routes",
+        fresh.routes().routes().size());
+  }
+
+  private void onReplicas(Feed feed, boolean changed) {
+    if (changed) {
+      List<UpstreamReplica> read = new ArrayList<>();
+      feed.rows()
+          .forEach(
+              (id, record) ->
+                  record.value().flatMap(v -> ReplicaReader.read(id, v)).ifPresent(read::add));
+      logChanges(read);
+      replicas.replace(read);
+      pieces.onReplicas();
+    }
+    updateBeat();
+  }
+
+  private void logChanges(Collection<UpstreamReplica> read) {
+    for (UpstreamReplica replica : read) {
+      Optional<UpstreamReplica> before = replicas.find(replica.id());
+      if (before.isEmpty() || !before.get().equals(replica)) {
+        log.write(
+            "replica",
+            "replica",
+            replica.id(),
+            "service",
+            replica.service(),
+            "endpoint",
+            replica.endpoint(),
+            "leaving",
+            replica.leaving(),
+            "slots",
+            replica.slots(),
+            "offset",
+            listed.offset());
+      }
+    }
+    for (UpstreamReplica gone : replicas.missingFrom(read)) {
+      log.write("replica-gone", "replica", gone.id(), "offset", listed.offset());
+    }
+  }
+
+  private void onInstances(Feed feed, boolean changed) {
+    for (KeyedRecord record : feed.rows().values()) {
+      if (record.value().isEmpty()) {
+        continue;
+      }
+      try {
+        if (FellowCodec.decode(record.value().get(), 0) instanceof FellowMessage.Hello hello) {
+          net.learn(hello.self());
+        }
+      } catch (IOException e) {
+        log.write("instance-malformed", "key", record.key(), "error", e.getMessage());
+      }
+    }
+  }
+
+  private void updateBeat() {
+    Beat fresh = new Beat(ready, leaving, configuration.offset(), listed.offset());
+    Beat before = fellows.own();
+    fellows.own(fresh);
+    if (before.ready() != fresh.ready() || before.leaving() != fresh.leaving()) {
+      net.announce();
+    }
+  }
+
+  /** Asks other instances for what this one cannot read from the store itself. */
+  private void catchUp() {
+    askFor(FellowMessage.Table.CONFIGURATION, configuration);
+    askFor(FellowMessage.Table.REPLICAS, listed);
+  }
+
+  private void askFor(FellowMessage.Table table, Feed feed) {
+    boolean ofConfiguration = table == FellowMessage.Table.CONFIGURATION;
+    Optional<Fellow> ahead = fellows.ahead(ofConfiguration, loop.now());
+    if (ahead.isEmpty()) {
+      behind.remove(table.name());
+      return;
+    }
+    boolean again = !behind.add(table.name());
+    if (feed.isLost() || again && ofConfiguration) {
+      net.send(ahead.get().name(), new FellowMessage.TableRequest(table));
+    }
+  }
+
+  private void answerReadiness(Request request, Response response, Callback callback) {
+    boolean known = request.getHttpURI().getPath().equals(AddressQuestion.READINESS_PATH);
+    int status = !known ? NOT_FOUND : ready && !leaving ? OK : UNAVAILABLE;
+    ClientExchange.create(request, response, callback)
+        .reply(status, List.of(), ByteBuffer.allocate(0));
+  }
+
+  private void answerAddresses(Request request, Response response, Callback callback) {
+    ClientExchange exchange = ClientExchange.create(request, response, callback);
+    if (!request.getHttpURI().getPath().equals(AddressQuestion.PATH)) {
+      exchange.reply(NOT_FOUND, List.of(), ByteBuffer.allocate(0));
+      return;
+    }
+    String query = request.getHttpURI().getQuery();
+    loop.post(
+        () -> {
+          DataCentre near = AddressQuestion.dataCentre(query).orElse(fellows.self().dataCentre());
+          List<Endpoint> endpoints =
+              fellows.forClients(near, loop.now()).stream()
+                  .limit(AddressQuestion.MAX_ADDRESSES)
+                  .map(Fellow::clients)
+                  .toList();
+          if (endpoints.isEmpty()) {
+            exchange.reply(UNAVAILABLE, List.of(), ByteBuffer.allocate(0));
+            return;
+          }
+          byte[] body = AddressQuestion.answer(endpoints, addressLifeMillis());
+          exchange.reply(
+              OK,
+              List.of(new HeaderField("Content-Type", "application/json")),
+              ByteBuffer.wrap(body));
+        });
+  }
+
+  /** Short, so that clients learn soon of instances that came or left. */
+  private long addressLifeMillis() {
+    return Math.min(ADDRESS_LIFE_MILLIS, settings.bounds().addressLifeMillis());
+  }
+
+  private void answerMetrics(Request request, Response response, Callback callback) {
+    ClientExchange.create(request, response, callback)
+        .reply(
+            OK,
+            List.of(new HeaderField("Content-Type", "text/plain; version=0.0.4")),
+            ByteBuffer.wrap(metrics.text()));
+  }
+
+  /**
+   * Leaves: takes no part in new work, serves what clients still send, and stops once all requests
+   * have ended or the time for a shutdown is over.
+   *
+   * @param signal what asked for it, not null
+   */
+  public void leave(String signal) {
+    if (leaving) {
+      return;
+    }
+    leaving = true;
+    log.write("stop", "signal", signal, "active", clients.active());
+    clients.leave();
+    long from = loop.now();
+    loop.post(
+        () -> {
+          updateBeat();
+          store.append(StoreClient.INSTANCES_TOPIC, settings.instance(), Optional.empty());
+          awaitEnd(from);
+        });
+  }
+
+  private void awaitEnd(long from) {
+    long elapsed = (long) Nanos.toMillis(loop.now() - from);
+    long longest = settings.bounds().shutdownMillis() - EXIT_MARGIN_MILLIS;
+    boolean idle = clients.active() == 0 && pieces.isIdle();
+    if (elapsed >= longest || idle && elapsed >= Math.min(LEAVE_MILLIS, longest)) {
+      log.write("stopped", "active", clients.active(), "elapsed_ms", elapsed);
+      stopped.countDown();
+      return;
+    }
+    loop.after(LEAVE_STEP_MILLIS, () -> awaitEnd(from));
+  }
+
+  /**
+   * Waits until the instance has left.
+   *
+   * @throws InterruptedException if the wait is interrupted
+   */
+  public void await() throws InterruptedException {
+    stopped.await();
+  }
+
+  @Override
+  public void close() {
+    net.close();
+    host.close();
+    client.close();
+    loop.close();
+  }
+
+  /** Takes what other instances say. */
+  private final class FellowEvents implements FellowNet.Listener {
+    @Override
+    public void onMessage(String name, FellowMessage message) {
+      if (message instanceof FellowMessage.TableRequest request) {
+        Feed feed = request.table() == FellowMessage.Table.CONFIGURATION ? configuration : listed;
+        net.send(name, new FellowMessage.TableData(request.table(), feed.offset(), feed.toRows()));
+      } else if (message instanceof FellowMessage.TableData data) {
+        Feed feed = data.table() == FellowMessage.Table.CONFIGURATION ? configuration : listed;
+        log.write(
+            "table-from-fellow",
+            "fellow",
+            name,
+            "table",
+            data.table(),
+            "offset",
+            data.offset(),
+            "own_offset",
+            feed.offset());
+        feed.takeFrom(data.offset(), data.rows());
+      } else {
+        pieces.onMessage(name, message);
+      }
+    }
+
+    @Override
+    public void onAlive(String name) {
+      catchUp();
+    }
+
+    @Override
+    public void onDown(String name) {
+      pieces.onDown(name);
+    }
+
+    @Override
+    public void onBeat() {
+      updateBeat();
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMain.java
@@ -0,0 +1,66 @@
+package org.arbutusspar.entry.gateway;
+
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.arbutusspar.io.EventLog;
+import org.arbutusspar.io.StepException;
+import org.arbutusspar.platform.PlatformSettings;
+import org.arbutusspar.platform.SettingsException;
+import org.arbutusspar.platform.SettingsFile;
+import sun.misc.Signal;
+
+/**
+ * Runs an entry instance on the platform. Exit codes: 0 after a graceful shutdown, 2 for mistaken
+ * settings, 3 if it cannot start.
+ */
+public final class GatewayMain {
+
+  private static final int EXIT_SETTINGS = 2;
+  private static final int EXIT_START = 3;
+  private static final String DEFAULT_PATH = "/etc/arbutusspar/settings.conf";
+
+  private GatewayMain() {}
+
+  /**
+   * Runs until it is told to stop.
+   *
+   * @return exit code
+   * @throws InterruptedException if the wait is interrupted
+   */
+  public static int run() throws InterruptedException {
+    String path = System.getenv().getOrDefault(SettingsFile.PATH_VARIABLE, DEFAULT_PATH);
+    EventLog log = EventLog.create(10);
+    PlatformSettings settings;
+    try {
+      settings = SettingsFile.read(Path.of(path));
+    } catch (SettingsException e) {
+      e.problems().forEach(problem -> log.write("settings-mistake", "problem", problem));
+      return EXIT_SETTINGS;
+    }
+    try (Gateway gateway = Gateway.start(settings)) {
+      Signal.handle(new Signal("TERM"), signal -> gateway.leave("TERM"));
+      Signal.handle(new Signal("INT"), signal -> gateway.leave("INT"));
+      AtomicReference<PlatformSettings> current = new AtomicReference<>(settings);
+      Signal.handle(new Signal("HUP"), signal -> reload(Path.of(path), current, log));
+      gateway.await();
+    } catch (StepException e) {
+      log.write("start-failed", "step", e.step(), "peer", e.peer(), "error", e.getMessage());
+      return EXIT_START;
+    } finally {
+      LogManager.shutdown();
+    }
+    return 0;
+  }
+
+  /** Settings only change where a restart is needed; the change is checked and told. */
+  private static void reload(Path path, AtomicReference<PlatformSettings> current, EventLog log) {
+    try {
+      PlatformSettings fresh = SettingsFile.read(path);
+      boolean same = fresh.equals(current.getAndSet(fresh));
+      log.write("reload", "changed", !same);
+    } catch (SettingsException e) {
+      e.problems().forEach(problem -> log.write("settings-mistake", "problem", problem));
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMetrics.java
@@ -0,0 +1,77 @@
+package org.arbutusspar.entry.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.DoubleSupplier;
+
+/** Metrics of an instance on the platform, in a registry of its own. */
+final class GatewayMetrics {
+
+  private static final double[] SECONDS = {0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20};
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter outcomes =
+      Counter.builder()
+          .name("arbutusspar_requests")
+          .help("Final answers to clients by outcome and reason")
+          .labelNames("outcome", "reason")
+          .register(registry);
+  private final Histogram latency =
+      Histogram.builder()
+          .name("arbutusspar_request_seconds")
+          .help("Time from the request to the beginning of the answer, by kind of route")
+          .labelNames("kind")
+          .classicOnly()
+          .classicUpperBounds(SECONDS)
+          .register(registry);
+  private final Histogram stages =
+      Histogram.builder()
+          .name("arbutusspar_stages_seconds")
+          .help("Time that all stages of a request took")
+          .classicOnly()
+          .classicUpperBounds(SECONDS)
+          .register(registry);
+
+  private GatewayMetrics() {}
+
+  static GatewayMetrics create() {
+    return new GatewayMetrics();
+  }
+
+  /** Registers a gauge that is read when metrics are fetched. */
+  void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  void onOutcome(String outcome, String reason) {
+    outcomes.labelValues(outcome, reason).inc();
+  }
+
+  void onBegin(String kind, double seconds) {
+    latency.labelValues(kind).observe(seconds);
+  }
+
+  void onStages(double seconds) {
+    stages.observe(seconds);
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  byte[] text() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException("metrics cannot be written", e);
+    }
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -0,0 +1,365 @@
+package org.arbutusspar.entry.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.fellow.FellowTable;
+import org.arbutusspar.core.placement.ReplicaBook;
+import org.arbutusspar.core.routing.PieceLimits;
+import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.core.stage.Piece;
+import org.arbutusspar.core.stage.PieceAnswer;
+import org.arbutusspar.core.stage.PieceCall;
+import org.arbutusspar.core.stage.PieceGatherer;
+import org.arbutusspar.core.stage.PieceId;
+import org.arbutusspar.core.stage.PieceOutcome;
+import org.arbutusspar.core.stage.StageResult;
+import org.arbutusspar.core.stage.UrgencyOrder;
+import org.arbutusspar.io.EventLog;
+import org.arbutusspar.io.http.RawCall;
+import org.arbutusspar.io.http.RawClient;
+import org.arbutusspar.io.http.RawReply;
+import org.arbutusspar.io.link.FellowMessage;
+import org.arbutusspar.platform.PieceCalls;
+
+/**
+ * Has the pieces of this instance's requests made, by itself or by the instance that gathers the
+ * pieces of a service, and gathers those of other instances. Runs on the loop.
+ */
+final class PieceWork {
+
+  /** A call may take this many times its expected time, and then some. */
+  private static final double CALL_PATIENCE = 2.5;
+
+  private static final long CALL_SLACK_MILLIS = 300;
+
+  /** Longest time for which releases wait for others, so that one call releases many. */
+  private static final long RELEASE_MILLIS = 60;
+
+  private static final long EXPIRY_MILLIS = 100;
+
+  private final FellowTable fellows;
+  private final FellowNet net;
+  private final ReplicaBook replicas;
+  private final RawClient client;
+  private final DeadlineLoop loop;
+  private final EventLog log;
+  private final String self;
+  private final Map<String, PieceGatherer> gatherers = new HashMap<>();
+  private final Map<PieceId, Pending> pending = new LinkedHashMap<>();
+  private final List<String> toRelease = new ArrayList<>();
+  private boolean releasing;
+  private boolean expiring;
+  private ServingState state;
+
+  PieceWork(
+      FellowTable fellows,
+      FellowNet net,
+      ReplicaBook replicas,
+      RawClient client,
+      DeadlineLoop loop,
+      EventLog log) {
+    this.fellows = fellows;
+    this.net = net;
+    this.replicas = replicas;
+    this.client = client;
+    this.loop = loop;
+    this.log = log;
+    this.self = fellows.self().name();
+  }
+
+  /** Takes a new configuration. */
+  void onState(ServingState fresh) {
+    state = fresh;
+    gatherers.values().forEach(g -> fresh.pieceLimits(g.service()).ifPresent(g::limits));
+  }
+
+  /** Takes a new list of replicas. */
+  void onReplicas() {
+    for (PieceGatherer gatherer : gatherers.values()) {
+      gatherer.replicas(replicas.usable(gatherer.service()));
+      pump(gatherer);
+    }
+  }
+
+  /** Has pieces made; the requester is told what becomes of each. */
+  void submit(String service, List<Piece> pieces, Requester requester) {
+    String gatherer = fellows.gatherer(service, loop.now());
+    pieces.forEach(p -> pending.put(p.id(), new Pending(p, service, requester, gatherer)));
+    hand(service, gatherer, pieces);
+  }
+
+  private void hand(String service, String gatherer, List<Piece> pieces) {
+    if (gatherer.equals(self)) {
+      gather(service, pieces);
+    } else if (!net.send(gatherer, new FellowMessage.Pieces(service, pieces))) {
+      pieces.forEach(piece -> pending.get(piece.id()).gatherer = self);
+      gather(service, pieces);
+    }
+  }
+
+  /** Gives up the pieces of a request. */
+  void cancel(String requestId) {
+    List<Pending> dropped =
+        pending.values().stream()
+            .filter(each -> each.piece.id().requestId().equals(requestId))
+            .toList();
+    dropped.forEach(each -> pending.remove(each.piece.id()));
+    dropped.stream()
+        .map(each -> each.gatherer)
+        .distinct()
+        .forEach(
+            name -> {
+              if (name.equals(self)) {
+                cancelGathered(requestId);
+              } else {
+                net.send(name, new FellowMessage.Cancel(requestId));
+              }
+            });
+  }
+
+  private void cancelGathered(String requestId) {
+    gatherers.values().forEach(gatherer -> gatherer.cancel(requestId));
+  }
+
+  /** Releases results that nobody will read. */
+  void release(Collection<StageResult> results) {
+    Map<String, List<String>> byGatherer = new HashMap<>();
+    for (StageResult result : results) {
+      byGatherer.computeIfAbsent(result.gatherer(), g -> new ArrayList<>()).add(result.handle());
+    }
+    byGatherer.forEach(
+        (name, handles) -> {
+          if (name.equals(self) || !net.send(name, new FellowMessage.Release(handles))) {
+            releaseHere(handles);
+          }
+        });
+  }
+
+  private void releaseHere(List<String> handles) {
+    boolean freed = false;
+    for (String handle : handles) {
+      for (PieceGatherer gatherer : gatherers.values()) {
+        freed |= gatherer.release(handle);
+      }
+    }
+    toRelease.addAll(handles);
+    if (!releasing) {
+      releasing = true;
+      loop.after(RELEASE_MILLIS, this::sendReleases);
+    }
+  }
+
+  private void sendReleases() {
+    releasing = false;
+    for (RawCall call : PieceCalls.release(toRelease)) {
+      client
+          .fetch("release", call)
+          .whenComplete(
+              (reply, failure) -> {
+                if (failure != null) {
+                  log.write(
+                      "release-failed", "replica", call.endpoint(), "error", failure.getMessage());
+                }
+              });
+    }
+    toRelease.clear();
+    gatherers.values().forEach(this::pump);
+  }
+
+  /** Takes a message of another instance. */
+  void onMessage(String name, FellowMessage message) {
+    if (message instanceof FellowMessage.Pieces pieces) {
+      gather(pieces.service(), pieces.pieces());
+    } else if (message instanceof FellowMessage.Outcomes outcomes) {
+      outcomes.outcomes().forEach(this::onOutcome);
+    } else if (message instanceof FellowMessage.Cancel cancel) {
+      cancelGathered(cancel.requestId());
+    } else if (message instanceof FellowMessage.Release release) {
+      releaseHere(release.handles());
+    }
+  }
+
+  /** Hands pieces that an instance gathered to another one, since it is not reached any more. */
+  void onDown(String name) {
+    List<Pending> orphans =
+        pending.values().stream().filter(each -> each.gatherer.equals(name)).toList();
+    Map<String, List<Piece>> byService = new HashMap<>();
+    for (Pending orphan : orphans) {
+      byService.computeIfAbsent(orphan.service, s -> new ArrayList<>()).add(orphan.piece);
+    }
+    byService.forEach(
+        (service, pieces) -> {
+          String gatherer = fellows.gatherer(service, loop.now());
+          pieces.forEach(piece -> pending.get(piece.id()).gatherer = gatherer);
+          log.write(
+              "pieces-moved",
+              "service",
+              service,
+              "from",
+              name,
+              "to",
+              gatherer,
+              "pieces",
+              pieces.size());
+          hand(service, gatherer, pieces);
+        });
+  }
+
+  private void gather(String service, List<Piece> pieces) {
+    Optional<PieceLimits> limits = state == null ? Optional.empty() : state.pieceLimits(service);
+    if (limits.isEmpty()) {
+      tellOrigins(
+          pieces,
+          pieces.stream().map(p -> PieceOutcome.none(p.id(), PieceOutcome.FAILED)).toList());
+      return;
+    }
+    PieceGatherer gatherer = gatherers.get(service);
+    if (gatherer == null) {
+      gatherer = PieceGatherer.create(service, limits.get(), UrgencyOrder.create());
+      gatherer.replicas(replicas.usable(service));
+      gatherers.put(service, gatherer);
+    }
+    pieces.forEach(gatherer::submit);
+    pump(gatherer);
+  }
+
+  private void pump(PieceGatherer gatherer) {
+    long now = loop.now();
+    for (Piece late : gatherer.expire(now)) {
+      tell(late.origin(), List.of(PieceOutcome.none(late.id(), PieceOutcome.LATE)));
+    }
+    gatherer.nextCalls(now).forEach(call -> send(gatherer, call));
+    if (gatherer.waiting() > 0) {
+      scheduleExpiry();
+    }
+  }
+
+  private void scheduleExpiry() {
+    if (!expiring) {
+      expiring = true;
+      loop.after(
+          EXPIRY_MILLIS,
+          () -> {
+            expiring = false;
+            gatherers.values().forEach(this::pump);
+          });
+    }
+  }
+
+  private void send(PieceGatherer gatherer, PieceCall call) {
+    long patience =
+        (long) (Nanos.toMillis(call.expectedNanos()) * CALL_PATIENCE) + CALL_SLACK_MILLIS;
+    log.write(
+        "piece-call",
+        "service",
+        gatherer.service(),
+        "call",
+        call.number(),
+        "replica",
+        call.replica().id(),
+        "pieces",
+        call.pieces().size(),
+        "waiting",
+        gatherer.waiting(),
+        "expected_ms",
+        Math.round(Nanos.toMillis(call.expectedNanos())));
+    client
+        .fetch("piece-call", PieceCalls.make(call, loop.now(), patience))
+        .whenComplete((reply, failure) -> loop.post(() -> onReply(gatherer, call, reply, failure)));
+  }
+
+  private void onReply(PieceGatherer gatherer, PieceCall call, RawReply reply, Throwable failure) {
+    long now = loop.now();
+    Optional<List<PieceAnswer>> answers =
+        failure == null ? PieceCalls.answers(reply) : Optional.empty();
+    PieceGatherer.Completion completion;
+    if (answers.isPresent()) {
+      completion = gatherer.complete(call.number(), answers.get(), self, now);
+    } else {
+      boolean full = failure == null && PieceCalls.isNotRun(reply);
+      completion = gatherer.fail(call.number(), full, now);
+      log.write(
+          "piece-call-failed",
+          "service",
+          gatherer.service(),
+          "call",
+          call.number(),
+          "replica",
+          call.replica().id(),
+          "full",
+          full,
+          "error",
+          failure == null ? "status " + reply.status() : failure.getMessage());
+    }
+    tellOrigins(call.pieces(), completion.outcomes());
+    if (!completion.unwanted().isEmpty()) {
+      release(completion.unwanted());
+    }
+    pump(gatherer);
+  }
+
+  private void tellOrigins(List<Piece> pieces, List<PieceOutcome> outcomes) {
+    Map<PieceId, String> origins = new HashMap<>();
+    pieces.forEach(piece -> origins.put(piece.id(), piece.origin()));
+    Map<String, List<PieceOutcome>> byOrigin = new LinkedHashMap<>();
+    for (PieceOutcome outcome : outcomes) {
+      byOrigin.computeIfAbsent(origins.get(outcome.id()), origin -> new ArrayList<>()).add(outcome);
+    }
+    byOrigin.forEach(this::tell);
+  }
+
+  private void tell(String origin, List<PieceOutcome> outcomes) {
+    if (origin.equals(self)) {
+      outcomes.forEach(this::onOutcome);
+    } else if (!net.send(origin, new FellowMessage.Outcomes(outcomes))) {
+      outcomes.forEach(outcome -> outcome.result().ifPresent(r -> release(List.of(r))));
+    }
+  }
+
+  private void onOutcome(PieceOutcome outcome) {
+    Pending each = pending.remove(outcome.id());
+    if (each == null) {
+      outcome.result().ifPresent(result -> release(List.of(result)));
+      return;
+    }
+    each.requester.onPiece(outcome);
+  }
+
+  /** Returns whether nothing waits or is being made, here or elsewhere. */
+  boolean isIdle() {
+    return pending.isEmpty()
+        && gatherers.values().stream().allMatch(g -> g.waiting() + g.callsInProgress() == 0);
+  }
+
+  /** Told what becomes of the pieces that it has asked for. */
+  interface Requester {
+
+    /**
+     * A piece has been made or given up.
+     *
+     * @param outcome what became of it
+     */
+    void onPiece(PieceOutcome outcome);
+  }
+
+  /** A piece that one of this instance's requests waits for. */
+  private static final class Pending {
+    private final Piece piece;
+    private final String service;
+    private final Requester requester;
+    private String gatherer;
+
+    private Pending(Piece piece, String service, Requester requester, String gatherer) {
+      this.piece = piece;
+      this.service = service;
+      this.requester = requester;
+      this.gatherer = gatherer;
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -0,0 +1,84 @@
+package org.arbutusspar.entry.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.arbutusspar.core.fellow.FellowTable;
+import org.arbutusspar.core.placement.LeastLoadPlacement;
+import org.arbutusspar.core.placement.Placement;
+import org.arbutusspar.core.placement.PromptAffinityPlacement;
+import org.arbutusspar.core.placement.ReplicaBook;
+import org.arbutusspar.core.placement.WindowedRetryBudget;
+import org.arbutusspar.io.EventLog;
+import org.arbutusspar.io.http.RawClient;
+import org.arbutusspar.platform.PlatformSettings;
+
+/**
+ * What all requests of an instance share.
+ *
+ * @param loop runs their decisions
+ * @param client sends them to replicas
+ * @param replicas the replicas and their load
+ * @param pieces has the pieces of their stages made
+ * @param fellows the other instances
+ * @param bounds time limits and budgets to keep
+ * @param budgets retry budgets by service
+ * @param log told of decisions
+ * @param metrics counts outcomes
+ */
+record RequestContext(
+    DeadlineLoop loop,
+    RawClient client,
+    ReplicaBook replicas,
+    PieceWork pieces,
+    FellowTable fellows,
+    PlatformSettings.Bounds bounds,
+    Map<String, WindowedRetryBudget> budgets,
+    EventLog log,
+    GatewayMetrics metrics) {
+
+  /** Part of the fixed allowance for extra requests that is used, since instances may be missed. */
+  private static final double ALLOWANCE_SHARE = 0.6;
+
+  /** Part of the ratio that is used, for the same reason. */
+  private static final double RATIO_SHARE = 0.8;
+
+  private static final Placement AFFINITY = PromptAffinityPlacement.create();
+  private static final Placement LEAST_LOAD = LeastLoadPlacement.create();
+
+  static RequestContext create(
+      DeadlineLoop loop,
+      RawClient client,
+      ReplicaBook replicas,
+      PieceWork pieces,
+      FellowTable fellows,
+      PlatformSettings.Bounds bounds,
+      EventLog log,
+      GatewayMetrics metrics) {
+    return new RequestContext(
+        loop, client, replicas, pieces, fellows, bounds, new HashMap<>(), log, metrics);
+  }
+
+  Placement placement(boolean modelEngine) {
+    return modelEngine ? AFFINITY : LEAST_LOAD;
+  }
+
+  /** Counts a client's request for a service. */
+  void onRequest(String service) {
+    budget(service).onRequest(loop.now());
+  }
+
+  /** Takes the right to send a request to a service once more. */
+  boolean tryRepeat(String service) {
+    int instances = Math.max(1, Math.max(fellows.all().size() + 1, fellows.liveCount(loop.now())));
+    double allowance = bounds.retryAllowance() * ALLOWANCE_SHARE / instances;
+    return budget(service).tryTake(allowance, loop.now());
+  }
+
+  private WindowedRetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
+        service,
+        name ->
+            WindowedRetryBudget.create(
+                bounds.retryRatio() * RATIO_SHARE, bounds.retryWindowMillis()));
+  }
+}
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -0,0 +1,416 @@
+package org.arbutusspar.entry.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.placement.PlacementRequest;
+import org.arbutusspar.core.placement.RepeatRules;
+import org.arbutusspar.core.placement.SendVerdict;
+import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.route.Rendezvous;
+import org.arbutusspar.core.routing.KeyOwner;
+import org.arbutusspar.core.routing.Route;
+import org.arbutusspar.core.routing.RouteStage;
+import org.arbutusspar.core.routing.ServedService;
+import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.core.stage.Piece;
+import org.arbutusspar.core.stage.PieceId;
+import org.arbutusspar.core.stage.PieceOutcome;
+import org.arbutusspar.core.stage.StagePlan;
+import org.arbutusspar.core.stage.StageResult;
+import org.arbutusspar.io.http.HeaderField;
+import org.arbutusspar.platform.ClientRequest;
+
+/** One client's request from its arrival to its final answer. Runs on the loop. */
+final class ServedRequest implements PieceWork.Requester, UpstreamAttempt.Owner {
+
+  private static final int UNAVAILABLE = 503;
+  private static final int BAD_GATEWAY = 502;
+  private static final int GATEWAY_TIMEOUT = 504;
+
+  /** Patience of a client that states none. */
+  private static final long DEFAULT_PATIENCE_MILLIS = 30_000;
+
+  /** Time kept back so that the client has its answer before its deadline. */
+  private static final long ANSWER_MARGIN_MILLIS = 40;
+
+  /** Time that a request needs at its replica at least; with less left it is not sent. */
+  private static final long LEAST_MILLIS = 20;
+
+  /** Time that a model engine needs before its first event, apart from the prompt. */
+  private static final long ENGINE_START_MILLIS = 150;
+
+  private static final int MAX_ENGINE_PRIORITY = 9;
+
+  /** Times to come back are spread between this share and all of the longest one. */
+  private static final double BACKOFF_SPREAD = 0.5;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final RequestContext context;
+  private final ClientRequest request;
+  private final Route route;
+  private final Optional<KeyOwner> owner;
+  private final byte[] body;
+  private final ClientExchange exchange;
+  private final ServingState state;
+  private final long arrivedAt;
+  private final long deadline;
+  private final String service;
+  private final Set<String> tried = new HashSet<>();
+  private Optional<StagePlan> plan = Optional.empty();
+  private List<StageResult> held = new ArrayList<>();
+  private int sent;
+  private boolean mayHaveRun;
+  private boolean ended;
+  private UpstreamAttempt attempt;
+  private DeadlineLoop.Timer timer;
+  private Runnable onEnd = () -> {};
+
+  ServedRequest(
+      RequestContext context,
+      ServingState state,
+      ClientRequest request,
+      Route route,
+      Optional<KeyOwner> owner,
+      byte[] body,
+      ClientExchange exchange,
+      long arrivedAt) {
+    this.context = context;
+    this.state = state;
+    this.request = request;
+    this.route = route;
+    this.owner = owner;
+    this.body = body;
+    this.exchange = exchange;
+    this.arrivedAt = arrivedAt;
+    this.service = route.service(Rendezvous.hash(request.id()));
+    long patience = request.patienceMillis().orElse(DEFAULT_PATIENCE_MILLIS);
+    this.deadline = arrivedAt + Nanos.ofMillis(Math.min(patience, route.timeoutMillis()));
+  }
+
+  /** Starts to serve; the task is run once the request has ended in whatever way. */
+  void start(Runnable whenEnded) {
+    onEnd = whenEnded;
+    context.onRequest(service);
+    timer = context.loop().at(deadline - Nanos.ofMillis(ANSWER_MARGIN_MILLIS), this::onDeadline);
+    exchange.watch(() -> context.loop().post(this::onClientGone));
+    context
+        .log()
+        .write(
+            "request",
+            "id",
+            request.id(),
+            "route",
+            route.name(),
+            "version",
+            state.version(),
+            "workspace",
+            owner.map(KeyOwner::workspace).orElse("-"),
+            "service",
+            service,
+            "left_ms",
+            leftMillis(),
+            "stages",
+            request.pieceCounts());
+    if (route.stages().isEmpty()) {
+      dispatch();
+    } else {
+      startStages();
+    }
+  }
+
+  private void startStages() {
+    plan = Optional.of(StagePlan.create(route.stages(), request.pieceCounts()));
+    submitNext();
+  }
+
+  private void submitNext() {
+    StagePlan stages = plan.orElseThrow();
+    for (int stage : stages.startNext()) {
+      submit(stages, stage);
+    }
+    if (stages.isDone()) {
+      held = new ArrayList<>(stages.requestInputs());
+      context.metrics().onStages(elapsedMillis() / MILLIS_PER_SECOND);
+      dispatch();
+    }
+  }
+
+  private void submit(StagePlan stages, int stage) {
+    RouteStage spec = route.stages().get(stage);
+    List<String> inputs = stages.inputsOf(stage).stream().map(StageResult::handle).toList();
+    long rest = pathMillis(stages, stage) + ENGINE_START_MILLIS;
+    long startBy = arrivedAt + Nanos.ofMillis(route.targetMillis() - rest);
+    List<Piece> pieces = new ArrayList<>();
+    for (int i = 0; i < stages.pieces(stage); i++) {
+      pieces.add(
+          new Piece(
+              new PieceId(request.id(), stage, i),
+              context.fellows().self().name(),
+              inputs.isEmpty() ? request.pieceKey() : "",
+              inputs,
+              priority(),
+              startBy,
+              deadline - Nanos.ofMillis(ENGINE_START_MILLIS),
+              spec.resultBytes(),
+              0));
+    }
+    context.pieces().submit(spec.service(), pieces, this);
+  }
+
+  /** Returns the time that a stage and those that wait for it take, each in a call of its own. */
+  private long pathMillis(StagePlan stages, int stage) {
+    double millis = 0;
+    for (int each : stages.pathFrom(stage)) {
+      String name = route.stages().get(each).service();
+      millis += state.pieceLimits(name).map(l -> l.millis(l.batch())).orElse(0.0);
+    }
+    return Math.round(millis);
+  }
+
+  @Override
+  public void onPiece(PieceOutcome outcome) {
+    if (ended) {
+      outcome.result().ifPresent(result -> context.pieces().release(List.of(result)));
+      return;
+    }
+    if (outcome.result().isEmpty()) {
+      giveUp("stage-" + outcome.reason());
+      return;
+    }
+    StagePlan stages = plan.orElseThrow();
+    int stage = outcome.id().stage();
+    if (!stages.complete(stage, outcome.id().index(), outcome.result().get())) {
+      context.pieces().release(List.of(outcome.result().get()));
+      return;
+    }
+    if (stages.isDone(stage)) {
+      context
+          .log()
+          .write("stage-done", "id", request.id(), "stage", stage, "elapsed_ms", elapsedMillis());
+      context.pieces().release(stages.takeRead());
+      submitNext();
+    }
+  }
+
+  private void dispatch() {
+    if (leftMillis() < LEAST_MILLIS) {
+      giveUp("no-time");
+      return;
+    }
+    PlacementRequest wanted =
+        new PlacementRequest(service, request.promptKey(), tried, Rendezvous.hash(request.id()));
+    Optional<UpstreamReplica> replica =
+        context.replicas().choose(wanted, context.placement(isModelEngine()), context.loop().now());
+    if (replica.isEmpty()) {
+      giveUp("no-replica");
+      return;
+    }
+    send(replica.get());
+  }
+
+  private boolean isModelEngine() {
+    ServedService spec = state.services().get(service);
+    return spec != null && spec.modelEngine();
+  }
+
+  private void send(UpstreamReplica replica) {
+    tried.add(replica.id());
+    OptionalInt rank =
+        isModelEngine()
+            ? OptionalInt.of(Math.min(MAX_ENGINE_PRIORITY, priority()))
+            : OptionalInt.empty();
+    context
+        .log()
+        .write(
+            "send",
+            "id",
+            request.id(),
+            "replica",
+            replica.id(),
+            "attempt",
+            tried.size(),
+            "left_ms",
+            leftMillis());
+    attempt =
+        UpstreamAttempt.start(
+            context,
+            this,
+            request,
+            request.callTo(
+                replica,
+                body,
+                leftMillis() - ANSWER_MARGIN_MILLIS / 2,
+                owner.map(KeyOwner::workspace),
+                rank,
+                held),
+            replica,
+            route.kind(),
+            exchange);
+  }
+
+  private int priority() {
+    return owner.map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+  }
+
+  @Override
+  public void onSent() {
+    sent++;
+  }
+
+  @Override
+  public void onBegun(int status) {
+    context
+        .metrics()
+        .onBegin(route.kind().name().toLowerCase(Locale.ROOT), elapsedMillis() / MILLIS_PER_SECOND);
+    context
+        .log()
+        .write("answer-begun", "id", request.id(), "status", status, "ms", elapsedMillis());
+    releaseHeld();
+  }
+
+  @Override
+  public void onAnswered(int status) {
+    end("answered", "status-" + status);
+  }
+
+  @Override
+  public void onBroken(String reason) {
+    exchange.cut(new IllegalStateException(reason));
+    end("broken", reason);
+  }
+
+  @Override
+  public void onEndedWithout(
+      SendVerdict verdict, String reason, Optional<UpstreamAttempt.WholeAnswer> answer) {
+    if (ended) {
+      return;
+    }
+    mayHaveRun |= verdict == SendVerdict.FAILED || verdict == SendVerdict.UNKNOWN;
+    boolean again =
+        RepeatRules.mayRepeat(route, verdict, sent)
+            && leftMillis() > LEAST_MILLIS
+            && hasOtherReplica()
+            && (!RepeatRules.needsBudget(sent) || context.tryRepeat(service));
+    context
+        .log()
+        .write(
+            "attempt-ended",
+            "id",
+            request.id(),
+            "verdict",
+            verdict,
+            "reason",
+            reason,
+            "again",
+            again);
+    if (again) {
+      dispatch();
+    } else if (answer.isPresent()) {
+      exchange.reply(
+          answer.get().status(), answer.get().fields(), ByteBuffer.wrap(answer.get().body()));
+      end("answered", "status-" + answer.get().status());
+    } else {
+      giveUp(reason);
+    }
+  }
+
+  private boolean hasOtherReplica() {
+    return context.replicas().usable(service).stream().anyMatch(r -> !tried.contains(r.id()));
+  }
+
+  private void onDeadline() {
+    if (ended) {
+      return;
+    }
+    if (attempt != null && attempt.isActive() && !attempt.revoke()) {
+      mayHaveRun = true;
+    }
+    if (exchange.isOpen()) {
+      answer(mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "deadline");
+    } else {
+      exchange.cut(new IllegalStateException("deadline"));
+      end("broken", "deadline");
+    }
+  }
+
+  private void onClientGone() {
+    if (!ended) {
+      exchange.cut(new IllegalStateException("client left"));
+      end("left", "client-left");
+    }
+  }
+
+  private void giveUp(String reason) {
+    answer(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, reason);
+  }
+
+  private void answer(int status, String reason) {
+    List<HeaderField> fields = new ArrayList<>();
+    if (status == UNAVAILABLE) {
+      fields.add(new HeaderField("Retry-After", retryAfter()));
+    }
+    exchange.reply(status, fields, ByteBuffer.allocate(0));
+    end(status == UNAVAILABLE ? "refused" : "failed", reason);
+  }
+
+  /** Returns when to come back, in seconds: within a third of what is left, spread. */
+  private String retryAfter() {
+    double longest = Math.max(0.05, Math.min(1.0, leftMillis() / MILLIS_PER_SECOND / 4));
+    double spread = (Rendezvous.hash(request.id()) >>> 11) * 0x1.0p-53;
+    double seconds = longest * (BACKOFF_SPREAD + (1 - BACKOFF_SPREAD) * spread);
+    return String.format(Locale.ROOT, "%.3f", seconds);
+  }
+
+  private void end(String outcome, String reason) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    timer.cancel();
+    if (attempt != null) {
+      attempt.cancel(reason);
+    }
+    if (plan.isPresent()) {
+      context.pieces().cancel(request.id());
+      releaseHeld();
+    }
+    context.metrics().onOutcome(outcome, reason);
+    context
+        .log()
+        .write(
+            "outcome",
+            "id",
+            request.id(),
+            "outcome",
+            outcome,
+            "reason",
+            reason,
+            "attempts",
+            sent,
+            "ms",
+            elapsedMillis());
+    onEnd.run();
+  }
+
+  private void releaseHeld() {
+    if (plan.isPresent()) {
+      context.pieces().release(plan.get().takeAll());
+    }
+  }
+
+  private long leftMillis() {
+    return (long) Nanos.toMillis(deadline - context.loop().now());
+  }
+
+  private long elapsedMillis() {
+    return Math.round(Nanos.toMillis(context.loop().now() - arrivedAt));
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
@@ -0,0 +1,237 @@
+package org.arbutusspar.io.http;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.arbutusspar.io.StepException;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.component.LifeCycle;
+
+/** Sends HTTP calls as they stand through Jetty's client. Safe for use by several threads. */
+public final class RawClient implements AutoCloseable {
+
+  private static final int MAX_CONNECTIONS_PER_DESTINATION = 1_024;
+  private static final int MAX_QUEUED_PER_DESTINATION = 4_096;
+  private static final int MAX_HEADER_BYTES = 64 * 1024;
+  private static final int MAX_FETCHED_BYTES = 32 << 20;
+  private static final long DESTINATION_IDLE_MILLIS = 10_000;
+
+  private final HttpClient client;
+
+  private RawClient(HttpClient client) {
+    this.client = client;
+  }
+
+  /**
+   * Returns a started client.
+   *
+   * @param bindHost IP number that calls come from; empty for any
+   * @param executor threads for it, not null
+   * @param connectMillis longest time for making a connection
+   * @param idleMillis longest time that a connection is kept without a call
+   * @return the client, to be closed by whoever asked for it
+   * @throws StepException if it cannot start
+   */
+  public static RawClient start(
+      String bindHost, Executor executor, long connectMillis, long idleMillis) {
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(1);
+    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client.setExecutor(Objects.requireNonNull(executor, "executor"));
+    client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
+    client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_DESTINATION);
+    client.setConnectTimeout(connectMillis);
+    client.setIdleTimeout(idleMillis);
+    client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
+    client.setFollowRedirects(false);
+    client.setUserAgentField(null);
+    client.setDestinationIdleTimeout(DESTINATION_IDLE_MILLIS);
+    if (!bindHost.isEmpty()) {
+      client.setBindAddress(new InetSocketAddress(bindHost, 0));
+    }
+    try {
+      client.start();
+    } catch (Exception e) {
+      throw new StepException("start", "http-client", "HTTP client did not start", e);
+    }
+    client.getContentDecoderFactories().clear();
+    client.getProtocolHandlers().clear();
+    return new RawClient(client);
+  }
+
+  /**
+   * Sends a call and passes on what happens to it.
+   *
+   * @param call the call, not null
+   * @param listener told of each step, not null
+   * @return what cancels the call
+   */
+  public Cancellation send(RawCall call, RawListener listener) {
+    Request request = newRequest(call);
+    request.onRequestBegin(
+        begun -> {
+          if (!listener.onHandOver()) {
+            begun.abort(new StepException("send", call.endpoint() + "", "revoked", null, false));
+          }
+        });
+    request.onResponseHeaders(
+        response -> listener.onHeaders(response.getStatus(), fields(response.getHeaders())));
+    request.onResponseContentAsync(new Copying(listener));
+    request.send(
+        result -> {
+          if (result.isFailed()) {
+            listener.onFailure(result.getFailure());
+          } else {
+            listener.onSuccess();
+          }
+        });
+    return reason -> request.abort(new StepException("cancel", call.endpoint() + "", reason, null));
+  }
+
+  /**
+   * Sends a call and gathers the whole answer.
+   *
+   * @param step name of the step, for errors, not null
+   * @param call the call, not null
+   * @return the answer of any status; or failed with a {@link StepException}
+   */
+  public CompletableFuture<RawReply> fetch(String step, RawCall call) {
+    CompletableFuture<RawReply> future = new CompletableFuture<>();
+    Gathering gathering = new Gathering(step, call, future);
+    gathering.cancellation = send(call, gathering);
+    return future;
+  }
+
+  private Request newRequest(RawCall call) {
+    Request request =
+        client
+            .newRequest(call.endpoint().host(), call.endpoint().port())
+            .method(call.method())
+            .path(call.target());
+    request.headers(
+        headers -> {
+          headers.clear();
+          call.fields().forEach(field -> headers.add(field.name(), field.value()));
+          if (!call.keepConnection()) {
+            headers.add(HttpHeader.CONNECTION, "close");
+          }
+        });
+    if (call.body().length > 0) {
+      request.body(new BytesRequestContent((String) null, call.body()));
+    }
+    if (call.timeoutMillis() > 0) {
+      request.timeout(call.timeoutMillis(), TimeUnit.MILLISECONDS);
+      request.idleTimeout(2 * call.timeoutMillis(), TimeUnit.MILLISECONDS);
+    }
+    return request;
+  }
+
+  private static List<HeaderField> fields(HttpFields headers) {
+    List<HeaderField> fields = new ArrayList<>(headers.size());
+    headers.forEach(field -> fields.add(new HeaderField(field.getName(), valueOf(field))));
+    return fields;
+  }
+
+  private static String valueOf(HttpField field) {
+    return field.getValue() == null ? "" : field.getValue();
+  }
+
+  @Override
+  public void close() {
+    LifeCycle.stop(client);
+  }
+
+  /** What cancels a call. */
+  public interface Cancellation {
+
+    /**
+     * Gives the call up; its connection is closed.
+     *
+     * @param reason why
+     */
+    void cancel(String reason);
+  }
+
+  /** Copies the parts of a body, so that listeners may keep them. */
+  private record Copying(RawListener listener) implements Response.AsyncContentListener {
+    @Override
+    public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
+      ByteBuffer buffer = chunk.getByteBuffer();
+      if (!buffer.hasRemaining()) {
+        demander.run();
+        return;
+      }
+      ByteBuffer copy = ByteBuffer.allocate(buffer.remaining());
+      copy.put(buffer).flip();
+      listener.onContent(copy, demander);
+    }
+  }
+
+  /** Gathers a whole answer. */
+  private static final class Gathering implements RawListener {
+    private final String step;
+    private final RawCall call;
+    private final CompletableFuture<RawReply> future;
+    private final AtomicBoolean handedOver = new AtomicBoolean();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private volatile Cancellation cancellation;
+    private int status;
+    private List<HeaderField> fields = List.of();
+
+    private Gathering(String step, RawCall call, CompletableFuture<RawReply> future) {
+      this.step = step;
+      this.call = call;
+      this.future = future;
+    }
+
+    @Override
+    public boolean onHandOver() {
+      handedOver.set(true);
+      return true;
+    }
+
+    @Override
+    public void onHeaders(int code, List<HeaderField> received) {
+      status = code;
+      fields = received;
+    }
+
+    @Override
+    public void onContent(ByteBuffer part, Runnable acknowledge) {
+      body.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
+      if (body.size() > MAX_FETCHED_BYTES && cancellation != null) {
+        cancellation.cancel("answer is larger than " + MAX_FETCHED_BYTES + " bytes");
+        return;
+      }
+      acknowledge.run();
+    }
+
+    @Override
+    public void onSuccess() {
+      future.complete(new RawReply(status, fields, body.toByteArray()));
+    }
+
+    @Override
+    public void onFailure(Throwable cause) {
+      String message = String.valueOf(cause.getMessage());
+      future.completeExceptionally(
+          new StepException(step, call.endpoint() + "", message, cause, handedOver.get()));
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
@@ -0,0 +1,239 @@
+package org.arbutusspar.io.link;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.arbutusspar.core.fellow.Beat;
+import org.arbutusspar.core.fellow.Fellow;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.core.stage.Piece;
+import org.arbutusspar.core.stage.PieceId;
+import org.arbutusspar.core.stage.PieceOutcome;
+import org.arbutusspar.core.stage.StageResult;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes messages in MessagePack: the number of the message's type, then its fields in order.
+ *
+ * <p>Times of pieces are written relative to a given moment and read relative to another, since
+ * instances share no clock.
+ */
+public final class FellowCodec {
+
+  private static final int HELLO = 1;
+  private static final int ALIVE = 2;
+  private static final int PIECES = 3;
+  private static final int OUTCOMES = 4;
+  private static final int CANCEL = 5;
+  private static final int RELEASE = 6;
+  private static final int TABLE_REQUEST = 7;
+  private static final int TABLE_DATA = 8;
+  private static final int MAX_LIST = 100_000;
+
+  private FellowCodec() {}
+
+  /**
+   * Encodes a message.
+   *
+   * @param message the message, not null
+   * @param now current time
+   * @return the frame's body
+   */
+  public static byte[] encode(FellowMessage message, long now) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      if (message instanceof FellowMessage.Hello hello) {
+        packer.packInt(HELLO);
+        pack(packer, hello.self());
+        packer.packArrayHeader(hello.known().size());
+        for (Fellow fellow : hello.known()) {
+          pack(packer, fellow);
+        }
+      } else if (message instanceof FellowMessage.Alive alive) {
+        packer.packInt(ALIVE);
+        pack(packer, alive.beat());
+      } else if (message instanceof FellowMessage.Pieces pieces) {
+        packer.packInt(PIECES).packString(pieces.service());
+        packer.packArrayHeader(pieces.pieces().size());
+        for (Piece piece : pieces.pieces()) {
+          pack(packer, piece, now);
+        }
+      } else if (message instanceof FellowMessage.Outcomes outcomes) {
+        packer.packInt(OUTCOMES).packArrayHeader(outcomes.outcomes().size());
+        for (PieceOutcome outcome : outcomes.outcomes()) {
+          pack(packer, outcome);
+        }
+      } else if (message instanceof FellowMessage.Cancel cancel) {
+        packer.packInt(CANCEL).packString(cancel.requestId());
+      } else if (message instanceof FellowMessage.Release release) {
+        packer.packInt(RELEASE);
+        pack(packer, release.handles());
+      } else if (message instanceof FellowMessage.TableRequest request) {
+        packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
+      } else if (message instanceof FellowMessage.TableData data) {
+        packer.packInt(TABLE_DATA).packInt(data.table().ordinal()).packLong(data.offset());
+        packer.packArrayHeader(data.rows().size());
+        for (FellowMessage.Row row : data.rows()) {
+          packer.packString(row.key()).packBinaryHeader(row.value().length);
+          packer.writePayload(row.value());
+        }
+      }
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("message cannot be encoded", e);
+    }
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @param body the frame's body, not null
+   * @param now current time
+   * @return the message
+   * @throws IOException if the body is malformed
+   */
+  public static FellowMessage decode(byte[] body, long now) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+      int type = unpacker.unpackInt();
+      return switch (type) {
+        case HELLO ->
+            new FellowMessage.Hello(fellow(unpacker), list(unpacker, FellowCodec::fellow));
+        case ALIVE -> new FellowMessage.Alive(beat(unpacker));
+        case PIECES ->
+            new FellowMessage.Pieces(unpacker.unpackString(), list(unpacker, u -> piece(u, now)));
+        case OUTCOMES -> new FellowMessage.Outcomes(list(unpacker, FellowCodec::outcome));
+        case CANCEL -> new FellowMessage.Cancel(unpacker.unpackString());
+        case RELEASE -> new FellowMessage.Release(list(unpacker, MessageUnpacker::unpackString));
+        case TABLE_REQUEST -> new FellowMessage.TableRequest(table(unpacker));
+        case TABLE_DATA ->
+            new FellowMessage.TableData(
+                table(unpacker), unpacker.unpackLong(), list(unpacker, FellowCodec::row));
+        default -> throw new IOException("unknown message type " + type);
+      };
+    } catch (MessagePackException | IllegalArgumentException | NullPointerException e) {
+      throw new IOException("malformed message", e);
+    }
+  }
+
+  private static void pack(MessageBufferPacker packer, Fellow fellow) throws IOException {
+    packer.packString(fellow.name()).packLong(fellow.incarnation());
+    packer.packString(fellow.dataCentre().value());
+    packer.packString(fellow.links().toString()).packString(fellow.clients().toString());
+  }
+
+  private static Fellow fellow(MessageUnpacker unpacker) throws IOException {
+    return new Fellow(
+        unpacker.unpackString(),
+        unpacker.unpackLong(),
+        DataCentre.of(unpacker.unpackString()),
+        Endpoint.parse(unpacker.unpackString()),
+        Endpoint.parse(unpacker.unpackString()));
+  }
+
+  private static void pack(MessageBufferPacker packer, Beat beat) throws IOException {
+    packer.packBoolean(beat.ready()).packBoolean(beat.leaving());
+    packer.packLong(beat.configurationOffset()).packLong(beat.replicasOffset());
+  }
+
+  private static Beat beat(MessageUnpacker unpacker) throws IOException {
+    return new Beat(
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong());
+  }
+
+  private static void pack(MessageBufferPacker packer, PieceId id) throws IOException {
+    packer.packString(id.requestId()).packInt(id.stage()).packInt(id.index());
+  }
+
+  private static PieceId id(MessageUnpacker unpacker) throws IOException {
+    return new PieceId(unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackInt());
+  }
+
+  private static void pack(MessageBufferPacker packer, Piece piece, long now) throws IOException {
+    pack(packer, piece.id());
+    packer.packString(piece.origin()).packString(piece.key());
+    pack(packer, piece.inputs());
+    packer.packInt(piece.priority()).packLong(piece.startBy() - now);
+    packer.packLong(piece.deadline() - now).packLong(piece.resultBytes());
+  }
+
+  private static Piece piece(MessageUnpacker unpacker, long now) throws IOException {
+    return new Piece(
+        id(unpacker),
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        list(unpacker, MessageUnpacker::unpackString),
+        unpacker.unpackInt(),
+        now + unpacker.unpackLong(),
+        now + unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        0);
+  }
+
+  private static void pack(MessageBufferPacker packer, PieceOutcome outcome) throws IOException {
+    pack(packer, outcome.id());
+    packer.packString(outcome.reason()).packBoolean(outcome.result().isPresent());
+    if (outcome.result().isPresent()) {
+      StageResult result = outcome.result().get();
+      packer.packString(result.handle()).packString(result.gatherer()).packLong(result.bytes());
+    }
+  }
+
+  private static PieceOutcome outcome(MessageUnpacker unpacker) throws IOException {
+    PieceId id = id(unpacker);
+    String reason = unpacker.unpackString();
+    if (!unpacker.unpackBoolean()) {
+      return PieceOutcome.none(id, reason);
+    }
+    return new PieceOutcome(
+        id,
+        Optional.of(
+            new StageResult(
+                unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong())),
+        reason);
+  }
+
+  private static void pack(MessageBufferPacker packer, List<String> texts) throws IOException {
+    packer.packArrayHeader(texts.size());
+    for (String text : texts) {
+      packer.packString(text);
+    }
+  }
+
+  private static FellowMessage.Table table(MessageUnpacker unpacker) throws IOException {
+    int ordinal = unpacker.unpackInt();
+    FellowMessage.Table[] tables = FellowMessage.Table.values();
+    if (ordinal < 0 || ordinal >= tables.length) {
+      throw new IOException("unknown table " + ordinal);
+    }
+    return tables[ordinal];
+  }
+
+  private static FellowMessage.Row row(MessageUnpacker unpacker) throws IOException {
+    String key = unpacker.unpackString();
+    return new FellowMessage.Row(key, unpacker.readPayload(unpacker.unpackBinaryHeader()));
+  }
+
+  private static <T> List<T> list(MessageUnpacker unpacker, Reader<T> reader) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    if (size > MAX_LIST) {
+      throw new IOException("list of " + size + " items is too long");
+    }
+    List<T> list = new ArrayList<>(Math.min(size, 1_024));
+    for (int i = 0; i < size; i++) {
+      list.add(reader.read(unpacker));
+    }
+    return list;
+  }
+
+  /** Reads one item. */
+  private interface Reader<T> {
+    T read(MessageUnpacker unpacker) throws IOException;
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameConnection.java
@@ -0,0 +1,168 @@
+package org.arbutusspar.io.link;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.arbutusspar.core.route.Endpoint;
+
+/** A connection that carries frames. Frames may be sent from any thread. */
+public final class FrameConnection {
+
+  /** Largest frame, in bytes; a configuration must fit. */
+  public static final int MAX_FRAME_BYTES = 16 << 20;
+
+  /** A connection with more bytes waiting is closed: its peer does not read. */
+  private static final int MAX_QUEUED_BYTES = 32 << 20;
+
+  private static final int FIRST_BUFFER_BYTES = 4 * 1024;
+  private static final int LENGTH_BYTES = 4;
+
+  private final FrameNetwork network;
+  private final SocketChannel channel;
+  private final Endpoint peer;
+  private final boolean dialed;
+  private final Deque<ByteBuffer> queue = new ArrayDeque<>();
+  private SelectionKey key;
+  private ByteBuffer in = ByteBuffer.allocate(FIRST_BUFFER_BYTES);
+  private long queuedBytes;
+  private boolean open;
+  private volatile boolean closed;
+
+  FrameConnection(FrameNetwork network, SocketChannel channel, Endpoint peer, boolean dialed) {
+    this.network = network;
+    this.channel = channel;
+    this.peer = peer;
+    this.dialed = dialed;
+    this.open = !dialed;
+  }
+
+  void key(SelectionKey fresh) {
+    key = fresh;
+  }
+
+  SocketChannel channel() {
+    return channel;
+  }
+
+  /** Returns the other end: where it listens if this instance opened the connection. */
+  public Endpoint peer() {
+    return peer;
+  }
+
+  /** Returns whether this instance opened the connection. */
+  public boolean isDialed() {
+    return dialed;
+  }
+
+  /** Returns whether the connection has ended. */
+  public boolean isClosed() {
+    return closed;
+  }
+
+  boolean wasOpen() {
+    return open;
+  }
+
+  void opened() {
+    open = true;
+    key.interestOps(queue.isEmpty() ? SelectionKey.OP_READ : readAndWrite());
+  }
+
+  boolean markClosed() {
+    boolean first = !closed;
+    closed = true;
+    return first;
+  }
+
+  /**
+   * Sends a frame, in order and some time later.
+   *
+   * @param body the frame's body, not null; must not be changed afterwards
+   */
+  public void send(byte[] body) {
+    network.execute(() -> enqueue(body));
+  }
+
+  /** Closes the connection. */
+  public void close(String reason) {
+    network.execute(() -> network.drop(this, reason));
+  }
+
+  private void enqueue(byte[] body) {
+    if (closed) {
+      return;
+    }
+    ByteBuffer frame = ByteBuffer.allocate(LENGTH_BYTES + body.length);
+    frame.putInt(body.length).put(body).flip();
+    queue.add(frame);
+    queuedBytes += frame.remaining();
+    if (queuedBytes > MAX_QUEUED_BYTES) {
+      network.drop(this, "peer does not read");
+      return;
+    }
+    try {
+      if (open) {
+        flush();
+      }
+    } catch (IOException e) {
+      network.drop(this, e.toString());
+    }
+  }
+
+  void flush() throws IOException {
+    while (!queue.isEmpty()) {
+      ByteBuffer first = queue.peek();
+      queuedBytes -= channel.write(first);
+      if (first.hasRemaining()) {
+        key.interestOps(readAndWrite());
+        return;
+      }
+      queue.remove();
+    }
+    key.interestOps(SelectionKey.OP_READ);
+  }
+
+  private static int readAndWrite() {
+    return SelectionKey.OP_READ | SelectionKey.OP_WRITE;
+  }
+
+  void read(FrameHandler handler) throws IOException {
+    int count = channel.read(in);
+    if (count < 0) {
+      network.drop(this, "closed by peer");
+      return;
+    }
+    in.flip();
+    while (!closed && in.remaining() >= LENGTH_BYTES) {
+      int length = in.getInt(in.position());
+      if (length <= 0 || length > MAX_FRAME_BYTES) {
+        network.drop(this, "frame length " + length + " is not from 1 to " + MAX_FRAME_BYTES);
+        return;
+      }
+      if (in.remaining() < LENGTH_BYTES + length) {
+        break;
+      }
+      byte[] body = new byte[length];
+      in.getInt();
+      in.get(body);
+      handler.onFrame(this, body);
+    }
+    makeRoom();
+  }
+
+  private void makeRoom() {
+    int needed = in.remaining() >= LENGTH_BYTES ? in.getInt(in.position()) + LENGTH_BYTES : 0;
+    if (needed > in.capacity()) {
+      ByteBuffer larger = ByteBuffer.allocate(needed);
+      larger.put(in);
+      in = larger;
+    } else if (!in.hasRemaining() && in.capacity() > FIRST_BUFFER_BYTES) {
+      in = ByteBuffer.allocate(FIRST_BUFFER_BYTES);
+    } else {
+      in.compact();
+    }
+  }
+}
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameNetwork.java
@@ -0,0 +1,219 @@
+package org.arbutusspar.io.link;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.KeyValueLine;
+import org.arbutusspar.io.StepException;
+
+/**
+ * Connections between instances that carry frames: a length of four bytes, most significant first,
+ * and a body. One thread serves all of them without blocking.
+ */
+public final class FrameNetwork implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(FrameNetwork.class);
+  private static final int BACKLOG = 256;
+  private static final int MAX_CONNECTIONS = 2_048;
+  private static final long STOP_MILLIS = 1_000;
+
+  private final Endpoint local;
+  private final Selector selector;
+  private final ServerSocketChannel server;
+  private final FrameHandler handler;
+  private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+  private final Thread thread = new Thread(this::run, "links");
+  private volatile boolean closed;
+
+  private FrameNetwork(
+      Endpoint local, Selector selector, ServerSocketChannel server, FrameHandler handler) {
+    this.local = local;
+    this.selector = selector;
+    this.server = server;
+    this.handler = handler;
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @param local where to listen, not null
+   * @param handler told of connections and frames on the network's thread, not null
+   * @return the network, to be closed by whoever asked for it
+   * @throws StepException if the endpoint cannot be listened on
+   */
+  public static FrameNetwork start(Endpoint local, FrameHandler handler) {
+    Objects.requireNonNull(local, "local");
+    Objects.requireNonNull(handler, "handler");
+    try {
+      Selector selector = Selector.open();
+      ServerSocketChannel server = ServerSocketChannel.open();
+      server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      server.bind(new InetSocketAddress(local.host(), local.port()), BACKLOG);
+      server.configureBlocking(false);
+      server.register(selector, SelectionKey.OP_ACCEPT);
+      FrameNetwork network = new FrameNetwork(local, selector, server, handler);
+      network.thread.setDaemon(true);
+      network.thread.start();
+      return network;
+    } catch (IOException e) {
+      throw new StepException("link-listen", local.toString(), e.getMessage(), e);
+    }
+  }
+
+  /**
+   * Opens a connection; the handler is told when it is open or has failed.
+   *
+   * @param peer where the other instance listens, not null
+   */
+  public void connect(Endpoint peer) {
+    execute(() -> connectNow(peer));
+  }
+
+  /** Runs a task on the network's thread. */
+  void execute(Runnable task) {
+    tasks.add(task);
+    if (Thread.currentThread() != thread) {
+      selector.wakeup();
+    }
+  }
+
+  private void connectNow(Endpoint peer) {
+    SocketChannel channel = null;
+    try {
+      channel = SocketChannel.open();
+      channel.configureBlocking(false);
+      channel.bind(new InetSocketAddress(local.host(), 0));
+      channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+      FrameConnection connection = new FrameConnection(this, channel, peer, true);
+      SelectionKey key = channel.register(selector, SelectionKey.OP_CONNECT, connection);
+      connection.key(key);
+      if (channel.connect(new InetSocketAddress(peer.host(), peer.port()))) {
+        open(connection);
+      }
+    } catch (IOException e) {
+      closeQuietly(channel);
+      handler.onFailed(peer, e.toString());
+    }
+  }
+
+  private void run() {
+    while (!closed) {
+      try {
+        selector.select();
+        List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
+        selector.selectedKeys().clear();
+        ready.forEach(this::serve);
+        for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+          task.run();
+        }
+      } catch (IOException | RuntimeException e) {
+        LOG.error(KeyValueLine.event("link-thread-error").with("error", e), e);
+      }
+    }
+  }
+
+  private void serve(SelectionKey key) {
+    if (!key.isValid()) {
+      return;
+    }
+    if (key.isAcceptable()) {
+      accept();
+      return;
+    }
+    FrameConnection connection = (FrameConnection) key.attachment();
+    try {
+      if (key.isConnectable()) {
+        ((SocketChannel) key.channel()).finishConnect();
+        open(connection);
+      }
+      if (key.isValid() && key.isReadable()) {
+        connection.read(handler);
+      }
+      if (key.isValid() && key.isWritable()) {
+        connection.flush();
+      }
+    } catch (IOException e) {
+      drop(connection, e.toString());
+    }
+  }
+
+  private void accept() {
+    try {
+      SocketChannel channel = server.accept();
+      if (channel == null) {
+        return;
+      }
+      if (selector.keys().size() > MAX_CONNECTIONS) {
+        channel.close();
+        LOG.warn(KeyValueLine.event("link-refused").with("reason", "too-many-connections"));
+        return;
+      }
+      channel.configureBlocking(false);
+      channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+      InetSocketAddress remote = (InetSocketAddress) channel.getRemoteAddress();
+      Endpoint peer = new Endpoint(remote.getAddress().getHostAddress(), remote.getPort());
+      FrameConnection connection = new FrameConnection(this, channel, peer, false);
+      connection.key(channel.register(selector, SelectionKey.OP_READ, connection));
+      handler.onOpen(connection);
+    } catch (IOException e) {
+      LOG.warn(KeyValueLine.event("link-accept-failed").with("error", e));
+    }
+  }
+
+  private void open(FrameConnection connection) {
+    connection.opened();
+    handler.onOpen(connection);
+  }
+
+  /** Closes a connection and tells the handler, once; runs on the network's thread. */
+  void drop(FrameConnection connection, String reason) {
+    if (!connection.markClosed()) {
+      return;
+    }
+    closeQuietly(connection.channel());
+    if (connection.wasOpen()) {
+      handler.onClosed(connection, reason);
+    } else {
+      handler.onFailed(connection.peer(), reason);
+    }
+  }
+
+  private static void closeQuietly(SocketChannel channel) {
+    try {
+      if (channel != null) {
+        channel.close();
+      }
+    } catch (IOException e) {
+      LOG.debug(KeyValueLine.event("link-close-failed").with("error", e));
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    selector.wakeup();
+    try {
+      thread.join(STOP_MILLIS);
+      for (SelectionKey key : new ArrayList<>(selector.keys())) {
+        key.channel().close();
+      }
+      selector.close();
+    } catch (IOException e) {
+      LOG.debug(KeyValueLine.event("link-close-failed").with("error", e));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
