Room accounting, whole groups, places of results, admission by forecast

Change: room is freed when the replica has confirmed the release, releases go at once while room is scarce; calls take whole groups; pieces state where their inputs or readers are; admission compares the expected time of the stages, told in beats, with target and deadline.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Beat.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Beat.java
@@ -1,15 +1,28 @@
 package org.arbutusspar.core.fellow;
 
+import java.util.Map;
+
 /**
- * What an instance tells the others several times a second.
+ * What an instance tells the others several times a second. Immutable.
  *
  * @param ready whether it takes requests
  * @param leaving whether it shuts down
  * @param configurationOffset offset of the configuration in force there, -1 if there is none
  * @param replicasOffset offset up to which it has read the list of replicas, -1 if it has not
+ * @param waitMillis for each service whose pieces it gathers, how long a new piece waits
  */
-public record Beat(boolean ready, boolean leaving, long configurationOffset, long replicasOffset) {
+public record Beat(
+    boolean ready,
+    boolean leaving,
+    long configurationOffset,
+    long replicasOffset,
+    Map<String, Integer> waitMillis) {
 
   /** State of an instance that has said nothing yet. */
-  public static final Beat UNKNOWN = new Beat(false, false, -1, -1);
+  public static final Beat UNKNOWN = new Beat(false, false, -1, -1, Map.of());
+
+  /** Copies the map. */
+  public Beat {
+    waitMillis = Map.copyOf(waitMillis);
+  }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
@@ -145,6 +145,20 @@
     return top.isEmpty() ? self.name() : top.get(0);
   }
 
+  /**
+   * Returns how long a new piece of a service waits where such pieces are gathered.
+   *
+   * @param service name of the service, not null
+   * @param now current time
+   * @return the time in milliseconds as last told, 0 if it has not been told
+   */
+  public int waitMillis(String service, long now) {
+    String gatherer = gatherer(service, now);
+    Entry entry = entries.get(gatherer);
+    Beat beat = entry == null ? own : entry.beat;
+    return beat.waitMillis().getOrDefault(service, 0);
+  }
+
   /**
    * Returns a live instance whose configuration or list of replicas is ahead of this one's.
    *
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.Endpoint;
 
 /** The listed replicas of all services, with what this instance knows of their load and health. */
 public final class ReplicaBook {
@@ -27,6 +28,7 @@
   private final DataCentre home;
   private Map<String, List<UpstreamReplica>> byService = Map.of();
   private Map<String, UpstreamReplica> byId = Map.of();
+  private Map<Endpoint, UpstreamReplica> byEndpoint = Map.of();
   private final Map<String, ReplicaLoad> loads = new HashMap<>();
 
   private ReplicaBook(DataCentre home) {
@@ -63,6 +65,9 @@
     loads.putAll(known);
     byService = grouped;
     byId = ids;
+    Map<Endpoint, UpstreamReplica> endpoints = new HashMap<>();
+    listed.forEach(replica -> endpoints.put(replica.endpoint(), replica));
+    byEndpoint = endpoints;
   }
 
   /** Returns a listed replica, leaving or not, or empty if it is not listed. */
@@ -70,6 +75,11 @@
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns the data centre of the listed replica at an endpoint, or empty if there is none. */
+  public Optional<DataCentre> dataCentre(Endpoint endpoint) {
+    return Optional.ofNullable(byEndpoint.get(endpoint)).map(UpstreamReplica::dataCentre);
+  }
+
   /** Returns the listed replicas that a fresh list lacks. */
   public List<UpstreamReplica> missingFrom(Collection<UpstreamReplica> fresh) {
     Set<String> ids = new HashSet<>();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/Piece.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/Piece.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import org.arbutusspar.core.id.DataCentre;
 
 /**
  * A piece of work that waits to be done. Immutable. Times are on the steady clock of the instance
@@ -15,6 +17,7 @@
  * @param startBy latest start for which the request can still be in time
  * @param deadline when its result is of no use any more
  * @param resultBytes approximate size of the result
+ * @param near data centre in which the result is read or its inputs lie, if known
  * @param attempts calls that have failed to make it so far
  */
 public record Piece(
@@ -26,6 +29,7 @@
     long startBy,
     long deadline,
     long resultBytes,
+    Optional<DataCentre> near,
     int attempts) {
 
   /** Checks the components and copies the list. */
@@ -33,12 +37,13 @@
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(origin, "origin");
     Objects.requireNonNull(key, "key");
+    Objects.requireNonNull(near, "near");
     inputs = List.copyOf(inputs);
   }
 
   /** Returns the piece after one more failed call. */
   public Piece failedOnce() {
     return new Piece(
-        id, origin, key, inputs, priority, startBy, deadline, resultBytes, attempts + 1);
+        id, origin, key, inputs, priority, startBy, deadline, resultBytes, near, attempts + 1);
   }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -29,8 +29,13 @@
   /** A piece is given up after this many failed calls. */
   public static final int MAX_ATTEMPTS = 3;
 
+  /** A piece with less time to spare does not wait for a replica of its data centre. */
+  private static final long CROSSING_SLACK_NANOS = Nanos.ofMillis(350);
+
+  private static final double SCARCE_ROOM_SHARE = 0.4;
   private static final double RATIO_WEIGHT = 0.3;
   private static final double MAX_RATIO = 20;
+  private static final double MIN_PIECES_PER_SECOND = 1;
   private static final long FIRST_PAUSE_MILLIS = 250;
   private static final int MAX_PAUSE_DOUBLINGS = 3;
 
@@ -44,10 +49,14 @@
   private PieceLimits limits;
   private long lastNumber;
 
+  /** Mean number of pieces of the calls that left pieces waiting. */
+  private double callSize;
+
   private PieceGatherer(String service, PieceLimits limits, PieceOrder order) {
     this.service = service;
     this.limits = limits;
     this.order = order;
+    this.callSize = limits.batch();
   }
 
   /**
@@ -152,8 +161,9 @@
             .filter(worker -> worker.isFree(limits.slots(), now))
             .sorted(Comparator.comparingDouble((Worker worker) -> worker.ratio))
             .toList();
+    List<List<Piece>> groups = free.isEmpty() ? List.of() : groups(now);
     for (Worker worker : free) {
-      List<Piece> pieces = selectFor(worker, now);
+      List<Piece> pieces = selectFor(worker, groups, now);
       if (!pieces.isEmpty()) {
         return Optional.of(begin(worker, pieces, now));
       }
@@ -161,26 +171,74 @@
     return Optional.empty();
   }
 
-  private List<Piece> selectFor(Worker worker, long now) {
-    long room = limits.roomBytes() - worker.usedBytes;
+  /** Returns the waiting pieces in order, those of one stage of one request together. */
+  private List<List<Piece>> groups(long now) {
+    Map<String, List<Piece>> groups = new LinkedHashMap<>();
+    queue.values().stream()
+        .sorted(order.at(now))
+        .forEach(
+            piece ->
+                groups
+                    .computeIfAbsent(
+                        piece.id().requestId() + "/" + piece.id().stage(), k -> new ArrayList<>())
+                    .add(piece));
+    return List.copyOf(groups.values());
+  }
+
+  /**
+   * Selects pieces for a replica: whole groups, since a request waits for the last of its pieces;
+   * part of one only where no whole group fits. Groups of the replica's data centre go first.
+   */
+  private List<Piece> selectFor(Worker worker, List<List<Piece>> groups, long now) {
     List<Piece> selected = new ArrayList<>();
-    List<Piece> sorted = queue.values().stream().sorted(order.at(now)).toList();
-    for (Piece piece : sorted) {
-      if (selected.size() >= limits.batch()) {
-        break;
+    long room = limits.roomBytes() - worker.usedBytes;
+    for (boolean near : new boolean[] {true, false}) {
+      for (List<Piece> group : groups) {
+        Piece first = group.get(0);
+        boolean wanted = isNear(first, worker) == near && (near || mayCross(first, now));
+        long bytes = group.stream().mapToLong(Piece::resultBytes).sum();
+        if (wanted && selected.size() + group.size() <= limits.batch() && bytes <= room) {
+          selected.addAll(group);
+          room -= bytes;
+        }
       }
-      if (piece.resultBytes() <= room) {
+    }
+    return selected.isEmpty() ? selectPart(groups, room) : selected;
+  }
+
+  private List<Piece> selectPart(List<List<Piece>> groups, long room) {
+    List<Piece> selected = new ArrayList<>();
+    long left = room;
+    for (Piece piece : groups.isEmpty() ? List.<Piece>of() : groups.get(0)) {
+      if (selected.size() < limits.batch() && piece.resultBytes() <= left) {
         selected.add(piece);
-        room -= piece.resultBytes();
+        left -= piece.resultBytes();
       }
     }
-    return selected;
+    boolean isWhole = !groups.isEmpty() && selected.size() == groups.get(0).size();
+    return isWhole ? List.of() : selected;
+  }
+
+  private static boolean isNear(Piece piece, Worker worker) {
+    return piece.near().isEmpty() || piece.near().get().equals(worker.replica.dataCentre());
+  }
+
+  /** Returns whether a piece may go to another data centre: if it is urgent, or must. */
+  private boolean mayCross(Piece piece, long now) {
+    boolean urgent = now + CROSSING_SLACK_NANOS - piece.startBy() > 0;
+    boolean crowded = queue.size() >= limits.batch();
+    return urgent
+        || crowded
+        || workers.values().stream().noneMatch(w -> w.listed && isNear(piece, w));
   }
 
   private PieceCall begin(Worker worker, List<Piece> pieces, long now) {
     long expected = Nanos.ofMillis((long) (limits.millis(pieces.size()) * worker.ratio));
     PieceCall call = new PieceCall(++lastNumber, worker.replica, pieces, now, expected);
     pieces.forEach(piece -> queue.remove(piece.id()));
+    if (!queue.isEmpty()) {
+      callSize += RATIO_WEIGHT * (pieces.size() - callSize);
+    }
     worker.calls++;
     worker.usedBytes += pieces.stream().mapToLong(Piece::resultBytes).sum();
     calls.put(call.number(), call);
@@ -274,8 +332,13 @@
     worker.usedBytes -= call.pieces().stream().mapToLong(Piece::resultBytes).sum();
   }
 
-  /** Accounts for a result that is released; returns whether this gatherer knew of it. */
-  public boolean release(String handle) {
+  /**
+   * Accounts for a result that its replica has dropped.
+   *
+   * @param handle handle of the result, not null
+   * @return whether this gatherer knew of it
+   */
+  public boolean released(String handle) {
     Kept result = kept.remove(handle);
     if (result != null) {
       result.worker().usedBytes -= result.bytes();
@@ -283,6 +346,12 @@
     return result != null;
   }
 
+  /** Returns whether a replica has so little room left that results should be released at once. */
+  public boolean isRoomScarce() {
+    return workers.values().stream()
+        .anyMatch(worker -> worker.usedBytes > SCARCE_ROOM_SHARE * limits.roomBytes());
+  }
+
   private static boolean dropIfExpired(Kept result, long now) {
     boolean expired = now - result.expiresAt() >= 0;
     if (expired) {
@@ -302,17 +371,27 @@
   }
 
   /**
-   * Returns how long the pieces that wait now keep the replicas busy.
+   * Returns how long a piece that is submitted now waits for the start of its call, estimated.
    *
-   * @return the time in milliseconds; infinite if there is no replica
+   * @param now current time
+   * @return the time in milliseconds
    */
-  public double backlogMillis() {
+  public double waitMillis(long now) {
+    boolean anyFree = workers.values().stream().anyMatch(w -> w.isFree(limits.slots(), now));
+    if (queue.isEmpty() && anyFree) {
+      return 0;
+    }
     double perSecond =
         workers.values().stream()
             .filter(worker -> worker.listed)
-            .mapToDouble(worker -> limits.piecesPerSecond() / worker.ratio)
+            .mapToDouble(worker -> limits.slots() * callSize / seconds(callSize) / worker.ratio)
             .sum();
-    return queue.isEmpty() ? 0 : queue.size() * 1_000.0 / perSecond;
+    double untilFree = limits.millis(limits.batch() / 2) / Math.max(1, workers.size());
+    return untilFree + queue.size() * 1_000.0 / Math.max(MIN_PIECES_PER_SECOND, perSecond);
+  }
+
+  private double seconds(double pieces) {
+    return (limits.callMillis() + pieces * limits.pieceMillis()) / 1_000;
   }
 
   /** Returns when a paused replica may be called again, or the largest value if none is paused. */
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
@@ -6,6 +6,7 @@
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.http.StreamHost;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -104,7 +105,8 @@
   }
 
   /** Cuts the connection; an answer that was begun stays incomplete. */
-  void cut(Throwable cause) {
+  void cut(String reason) {
+    EofException cause = new EofException(reason);
     State before = state.getAndSet(State.ENDED);
     if (before != State.ENDED) {
       StreamHost.unwatch(request);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -110,7 +110,7 @@
         current.limits().bodyBytes(),
         body -> serve(current, read, route.get(), owner, body, exchange, arrivedAt),
         () -> refuse(exchange, read.id(), TOO_LARGE, "body-too-large"),
-        exchange::cut);
+        cause -> exchange.cut(String.valueOf(cause.getMessage())));
   }
 
   private void serve(
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -293,7 +293,8 @@
   }
 
   private void updateBeat() {
-    Beat fresh = new Beat(ready, leaving, configuration.offset(), listed.offset());
+    Beat fresh =
+        new Beat(ready, leaving, configuration.offset(), listed.offset(), pieces.waitMillis());
     Beat before = fellows.own();
     fellows.own(fresh);
     if (before.ready() != fresh.ready() || before.leaving() != fresh.leaving()) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -21,7 +21,6 @@
 import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.core.stage.UrgencyOrder;
 import org.arbutusspar.io.EventLog;
-import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.io.http.RawClient;
 import org.arbutusspar.io.http.RawReply;
 import org.arbutusspar.io.link.FellowMessage;
@@ -142,14 +141,10 @@
   }
 
   private void releaseHere(List<String> handles) {
-    boolean freed = false;
-    for (String handle : handles) {
-      for (PieceGatherer gatherer : gatherers.values()) {
-        freed |= gatherer.release(handle);
-      }
-    }
     toRelease.addAll(handles);
-    if (!releasing) {
+    if (gatherers.values().stream().anyMatch(PieceGatherer::isRoomScarce)) {
+      sendReleases();
+    } else if (!releasing) {
       releasing = true;
       loop.after(RELEASE_MILLIS, this::sendReleases);
     }
@@ -157,19 +152,39 @@
 
   private void sendReleases() {
     releasing = false;
-    for (RawCall call : PieceCalls.release(toRelease)) {
+    for (PieceCalls.Release release : PieceCalls.release(toRelease)) {
       client
-          .fetch("release", call)
-          .whenComplete(
-              (reply, failure) -> {
-                if (failure != null) {
-                  log.write(
-                      "release-failed", "replica", call.endpoint(), "error", failure.getMessage());
-                }
-              });
+          .fetch("release", release.call())
+          .whenComplete((reply, failure) -> loop.post(() -> onReleased(release, failure)));
     }
     toRelease.clear();
-    gatherers.values().forEach(this::pump);
+  }
+
+  private void onReleased(PieceCalls.Release release, Throwable failure) {
+    if (failure != null) {
+      log.write(
+          "release-failed",
+          "replica",
+          release.call().endpoint(),
+          "results",
+          release.handles().size(),
+          "error",
+          failure.getMessage());
+      return;
+    }
+    for (PieceGatherer gatherer : gatherers.values()) {
+      release.handles().forEach(gatherer::released);
+      pump(gatherer);
+    }
+  }
+
+  /** Returns how long a new piece waits, for each service whose pieces are gathered here. */
+  Map<String, Integer> waitMillis() {
+    Map<String, Integer> waits = new HashMap<>();
+    for (PieceGatherer gatherer : gatherers.values()) {
+      waits.put(gatherer.service(), (int) Math.round(gatherer.waitMillis(loop.now())));
+    }
+    return waits;
   }
 
   /** Takes a message of another instance. */
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -2,13 +2,16 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.placement.PlacementRequest;
 import org.arbutusspar.core.placement.RepeatRules;
 import org.arbutusspar.core.placement.SendVerdict;
@@ -22,10 +25,12 @@
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
+import org.arbutusspar.core.stage.StageAdmission;
 import org.arbutusspar.core.stage.StagePlan;
 import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.platform.ClientRequest;
+import org.arbutusspar.platform.PieceCalls;
 
 /** One client's request from its arrival to its final answer. Runs on the loop. */
 final class ServedRequest implements PieceWork.Requester, UpstreamAttempt.Owner {
@@ -48,6 +53,12 @@
 
   private static final int MAX_ENGINE_PRIORITY = 9;
 
+  /** A client that waits for less than this share of its route's timeout has been here before. */
+  private static final double CAME_BACK_SHARE = 0.9;
+
+  /** Clients come back within a third of the time that they have left; a little less is asked. */
+  private static final double BACKOFF_SHARE = 0.31;
+
   /** Times to come back are spread between this share and all of the longest one. */
   private static final double BACKOFF_SPREAD = 0.5;
 
@@ -65,6 +76,7 @@
   private final String service;
   private final Set<String> tried = new HashSet<>();
   private Optional<StagePlan> plan = Optional.empty();
+  private Optional<DataCentre> reader = Optional.empty();
   private List<StageResult> held = new ArrayList<>();
   private int sent;
   private boolean mayHaveRun;
@@ -128,7 +140,71 @@
 
   private void startStages() {
     plan = Optional.of(StagePlan.create(route.stages(), request.pieceCounts()));
-    submitNext();
+    double forecast = forecastMillis();
+    boolean cameBack =
+        request.patienceMillis().isPresent()
+            && request.patienceMillis().getAsLong() < CAME_BACK_SHARE * route.timeoutMillis();
+    StageAdmission.Verdict verdict =
+        StageAdmission.decide(forecast, route.targetMillis(), leftMillis(), priority(), cameBack);
+    context
+        .log()
+        .write(
+            "admission",
+            "id",
+            request.id(),
+            "verdict",
+            verdict,
+            "forecast_ms",
+            Math.round(forecast),
+            "target_ms",
+            route.targetMillis(),
+            "left_ms",
+            leftMillis(),
+            "came_back",
+            cameBack);
+    if (verdict == StageAdmission.Verdict.TAKE) {
+      planReader();
+      submitNext();
+    } else {
+      giveUp(verdict.name().toLowerCase(Locale.ROOT));
+    }
+  }
+
+  /** Returns the expected time of the longest chain of stages and of the engine's start. */
+  private double forecastMillis() {
+    StagePlan stages = plan.orElseThrow();
+    double longest = 0;
+    for (int stage = 0; stage < route.stages().size(); stage++) {
+      double chain = 0;
+      for (int each : stages.pathFrom(stage)) {
+        chain += stages.pieces(each) == 0 ? 0 : stageMillis(stages, each);
+      }
+      longest = Math.max(longest, chain);
+    }
+    return longest + ENGINE_START_MILLIS;
+  }
+
+  private double stageMillis(StagePlan stages, int stage) {
+    String name = route.stages().get(stage).service();
+    double work = state.pieceLimits(name).map(l -> l.millis(l.batch() / 2)).orElse(0.0);
+    return work + context.fellows().waitMillis(name, context.loop().now());
+  }
+
+  /** Chooses the replica early, so that large results are made in its data centre. */
+  private void planReader() {
+    reader = chooseReplica().map(UpstreamReplica::dataCentre);
+  }
+
+  /** Returns the data centre in which most of some results lie. */
+  private Optional<DataCentre> placeOf(List<StageResult> results) {
+    Map<DataCentre, Long> bytes = new HashMap<>();
+    for (StageResult result : results) {
+      context
+          .replicas()
+          .dataCentre(PieceCalls.maker(result.handle()))
+          .ifPresent(place -> bytes.merge(place, result.bytes(), Long::sum));
+    }
+    return bytes.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
   }
 
   private void submitNext() {
@@ -145,7 +221,9 @@
 
   private void submit(StagePlan stages, int stage) {
     RouteStage spec = route.stages().get(stage);
-    List<String> inputs = stages.inputsOf(stage).stream().map(StageResult::handle).toList();
+    List<StageResult> results = stages.inputsOf(stage);
+    List<String> inputs = results.stream().map(StageResult::handle).toList();
+    Optional<DataCentre> near = near(stages, stage, results);
     long rest = pathMillis(stages, stage) + ENGINE_START_MILLIS;
     long startBy = arrivedAt + Nanos.ofMillis(route.targetMillis() - rest);
     List<Piece> pieces = new ArrayList<>();
@@ -160,11 +238,17 @@
               startBy,
               deadline - Nanos.ofMillis(ENGINE_START_MILLIS),
               spec.resultBytes(),
+              near,
               0));
     }
     context.pieces().submit(spec.service(), pieces, this);
   }
 
+  private Optional<DataCentre> near(StagePlan stages, int stage, List<StageResult> inputs) {
+    boolean forRequest = stages.isLast(stage) && inputs.isEmpty();
+    return forRequest ? reader : placeOf(inputs);
+  }
+
   /** Returns the time that a stage and those that wait for it take, each in a call of its own. */
   private long pathMillis(StagePlan stages, int stage) {
     double millis = 0;
@@ -216,6 +300,14 @@
     send(replica.get());
   }
 
+  private Optional<UpstreamReplica> chooseReplica() {
+    PlacementRequest wanted =
+        new PlacementRequest(service, request.promptKey(), tried, Rendezvous.hash(request.id()));
+    return context
+        .replicas()
+        .choose(wanted, context.placement(isModelEngine()), context.loop().now());
+  }
+
   private boolean isModelEngine() {
     ServedService spec = state.services().get(service);
     return spec != null && spec.modelEngine();
@@ -283,7 +375,7 @@
 
   @Override
   public void onBroken(String reason) {
-    exchange.cut(new IllegalStateException(reason));
+    exchange.cut(reason);
     end("broken", reason);
   }
 
@@ -336,14 +428,14 @@
     if (exchange.isOpen()) {
       answer(mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "deadline");
     } else {
-      exchange.cut(new IllegalStateException("deadline"));
+      exchange.cut("deadline");
       end("broken", "deadline");
     }
   }
 
   private void onClientGone() {
     if (!ended) {
-      exchange.cut(new IllegalStateException("client left"));
+      exchange.cut("client left");
       end("left", "client-left");
     }
   }
@@ -363,7 +455,7 @@
 
   /** Returns when to come back, in seconds: within a third of what is left, spread. */
   private String retryAfter() {
-    double longest = Math.max(0.05, Math.min(1.0, leftMillis() / MILLIS_PER_SECOND / 4));
+    double longest = Math.max(0.05, leftMillis() / MILLIS_PER_SECOND * BACKOFF_SHARE);
     double spread = (Rendezvous.hash(request.id()) >>> 11) * 0x1.0p-53;
     double seconds = longest * (BACKOFF_SPREAD + (1 - BACKOFF_SPREAD) * spread);
     return String.format(Locale.ROOT, "%.3f", seconds);
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.arbutusspar.core.fellow.Beat;
 import org.arbutusspar.core.fellow.Fellow;
@@ -137,6 +139,10 @@
   private static void pack(MessageBufferPacker packer, Beat beat) throws IOException {
     packer.packBoolean(beat.ready()).packBoolean(beat.leaving());
     packer.packLong(beat.configurationOffset()).packLong(beat.replicasOffset());
+    packer.packMapHeader(beat.waitMillis().size());
+    for (Map.Entry<String, Integer> entry : beat.waitMillis().entrySet()) {
+      packer.packString(entry.getKey()).packInt(entry.getValue());
+    }
   }
 
   private static Beat beat(MessageUnpacker unpacker) throws IOException {
@@ -144,7 +150,20 @@
         unpacker.unpackBoolean(),
         unpacker.unpackBoolean(),
         unpacker.unpackLong(),
-        unpacker.unpackLong());
+        unpacker.unpackLong(),
+        waits(unpacker));
+  }
+
+  private static Map<String, Integer> waits(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackMapHeader();
+    if (size > MAX_LIST) {
+      throw new IOException("map of " + size + " entries is too large");
+    }
+    Map<String, Integer> waits = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      waits.put(unpacker.unpackString(), unpacker.unpackInt());
+    }
+    return waits;
   }
 
   private static void pack(MessageBufferPacker packer, PieceId id) throws IOException {
@@ -161,6 +180,7 @@
     pack(packer, piece.inputs());
     packer.packInt(piece.priority()).packLong(piece.startBy() - now);
     packer.packLong(piece.deadline() - now).packLong(piece.resultBytes());
+    packer.packString(piece.near().map(DataCentre::value).orElse(""));
   }
 
   private static Piece piece(MessageUnpacker unpacker, long now) throws IOException {
@@ -173,9 +193,14 @@
         now + unpacker.unpackLong(),
         now + unpacker.unpackLong(),
         unpacker.unpackLong(),
+        optionalDataCentre(unpacker.unpackString()),
         0);
   }
 
+  private static Optional<DataCentre> optionalDataCentre(String name) {
+    return name.isEmpty() ? Optional.empty() : Optional.of(DataCentre.of(name));
+  }
+
   private static void pack(MessageBufferPacker packer, PieceOutcome outcome) throws IOException {
     pack(packer, outcome.id());
     packer.packString(outcome.reason()).packBoolean(outcome.result().isPresent());
