A reset is not an orderly end of an answer without length

Jetty's end point returns end of stream for a read that fails, so a reset looked like an orderly end. Change: connections to replicas use an end point that lets the read failure through. Ruled out: a chunked answer cut short (it has no length and no chunks).

--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
@@ -3,6 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -21,6 +24,8 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.component.LifeCycle;
 
 /** Sends HTTP calls as they stand through Jetty's client. Safe for use by several threads. */
@@ -50,7 +55,7 @@
    */
   public static RawClient start(
       String bindHost, Executor executor, long connectMillis, long idleMillis) {
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new ResetAwareConnector();
     connector.setSelectors(1);
     HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
     client.setExecutor(Objects.requireNonNull(executor, "executor"));
@@ -168,6 +173,15 @@
     void cancel(String reason);
   }
 
+  /** Makes connections that tell a reset from an orderly end. */
+  private static final class ResetAwareConnector extends ClientConnector {
+    @Override
+    protected EndPoint newEndPoint(
+        SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+      return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+  }
+
   /** Copies the parts of a body, so that listeners may keep them. */
   private record Copying(RawListener listener) implements Response.AsyncContentListener {
     @Override
--- /dev/null
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/ResetAwareEndPoint.java
@@ -0,0 +1,41 @@
+package org.arbutusspar.io.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A connection to a replica that tells a reset from an orderly end. Jetty reads both as the end of
+ * the stream, so that an answer without a length which a reset cuts short would look complete.
+ */
+final class ResetAwareEndPoint extends SocketChannelEndPoint {
+
+  ResetAwareEndPoint(
+      SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+    super(channel, selector, key, scheduler);
+  }
+
+  @Override
+  public int fill(ByteBuffer buffer) throws IOException {
+    if (isInputShutdown()) {
+      return -1;
+    }
+    int position = BufferUtil.flipToFill(buffer);
+    try {
+      int count = getChannel().read(buffer);
+      if (count > 0) {
+        notIdle();
+      } else if (count < 0) {
+        shutdownInput();
+      }
+      return count;
+    } finally {
+      BufferUtil.flipToFlush(buffer, position);
+    }
+  }
+}
