--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryMain.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/EntryMain.java
@@ -27,6 +27,9 @@
   /** Runs the instance on the users' platform, which tells it its settings in a file. */
   private static final String PLATFORM_COMMAND = "platform";
 
+  /** Loads the classes of an instance, for an archive that speeds up its start. */
+  private static final String TRAINING_COMMAND = "train-classes";
+
   private static final int EXIT_SETTINGS = 2;
   private static final int EXIT_START = 3;
 
@@ -80,8 +83,12 @@
    */
   public static void main(String[] args) throws InterruptedException {
     boolean onPlatform = args.length == 1 && args[0].equals(PLATFORM_COMMAND);
-    int code = onPlatform ? GatewayMain.run() : run(args);
-    if (code != 0 || onPlatform) {
+    boolean training = args.length == 1 && args[0].equals(TRAINING_COMMAND);
+    int code = onPlatform ? GatewayMain.run() : training ? GatewayMain.train() : run(args);
+    if (onPlatform) {
+      Runtime.getRuntime().halt(code);
+    }
+    if (code != 0 || training) {
       System.exit(code);
     }
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -74,6 +74,9 @@
 
   private static final long LEAVE_STEP_MILLIS = 50;
 
+  /** Longest wait for threads that still run when the instance is closed. */
+  private static final long STOP_MILLIS = 100;
+
   private final PlatformSettings settings;
   private final EventLog log = EventLog.create(LOG_LINES_PER_SECOND);
   private final GatewayMetrics metrics = GatewayMetrics.create();
@@ -100,6 +103,7 @@
   private Gateway(PlatformSettings settings, long incarnation) {
     this.settings = settings;
     threads.setName("http");
+    threads.setStopTimeout(STOP_MILLIS);
     client = RawClient.start(settings.address(), threads, CONNECT_MILLIS, IDLE_MILLIS);
     store = StoreClient.create(client, settings.store());
     host = StreamHost.create(threads);
@@ -396,6 +400,7 @@
     boolean idle = clients.active() == 0 && pieces.isIdle();
     if (elapsed >= longest || idle && elapsed >= Math.min(LEAVE_MILLIS, longest)) {
       log.write("stopped", "active", clients.active(), "elapsed_ms", elapsed);
+      List.of(configuration, listed, instances).forEach(Feed::stop);
       stopped.countDown();
       return;
     }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMain.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMain.java
@@ -1,5 +1,6 @@
 package org.arbutusspar.entry.gateway;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
@@ -29,6 +30,7 @@
    * @throws InterruptedException if the wait is interrupted
    */
   public static int run() throws InterruptedException {
+    EventLogging.install();
     String path = System.getenv().getOrDefault(SettingsFile.PATH_VARIABLE, DEFAULT_PATH);
     EventLog log = EventLog.create(10);
     PlatformSettings settings;
@@ -53,6 +55,23 @@
     return 0;
   }
 
+  /**
+   * Runs an instance for a moment on loopback, so that an archive of its classes can be made.
+   *
+   * @return exit code
+   * @throws InterruptedException if a wait is interrupted
+   */
+  public static int train() throws InterruptedException {
+    EventLogging.install();
+    try {
+      ClassTraining.run();
+      return 0;
+    } catch (IOException | SettingsException | RuntimeException e) {
+      EventLog.create(10).write("training-failed", "error", e);
+      return EXIT_START;
+    }
+  }
+
   /** Settings only change where a restart is needed; the change is checked and told. */
   private static void reload(Path path, AtomicReference<PlatformSettings> current, EventLog log) {
     try {
