Admission by waiting, patience of clients, calls that teach only when they made all pieces

Change: the usual patience of a route is learned; waits are told for requests in time and late ones; admission weighs waiting against the time to spare by rank; late work may fill 0.7 of the room; only calls that made everything teach, and a given-up call reserves its room.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Beat.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Beat.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.core.fellow;
 
 import java.util.Map;
+import org.arbutusspar.core.stage.QueueWait;
 
 /**
  * What an instance tells the others several times a second. Immutable.
@@ -9,20 +10,20 @@
  * @param leaving whether it shuts down
  * @param configurationOffset offset of the configuration in force there, -1 if there is none
  * @param replicasOffset offset up to which it has read the list of replicas, -1 if it has not
- * @param waitMillis for each service whose pieces it gathers, how long a new piece waits
+ * @param waits for each service whose pieces it gathers, how long a new piece waits
  */
 public record Beat(
     boolean ready,
     boolean leaving,
     long configurationOffset,
     long replicasOffset,
-    Map<String, Integer> waitMillis) {
+    Map<String, QueueWait> waits) {
 
   /** State of an instance that has said nothing yet. */
   public static final Beat UNKNOWN = new Beat(false, false, -1, -1, Map.of());
 
   /** Copies the map. */
   public Beat {
-    waitMillis = Map.copyOf(waitMillis);
+    waits = Map.copyOf(waits);
   }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
@@ -12,6 +12,7 @@
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.route.Rendezvous;
+import org.arbutusspar.core.stage.QueueWait;
 
 /** The other instances: who they are, and who of them has been heard of lately. */
 public final class FellowTable {
@@ -150,13 +151,13 @@
    *
    * @param service name of the service, not null
    * @param now current time
-   * @return the time in milliseconds as last told, 0 if it has not been told
+   * @return the wait as last told, none if it has not been told
    */
-  public int waitMillis(String service, long now) {
+  public QueueWait queueWait(String service, long now) {
     String gatherer = gatherer(service, now);
     Entry entry = entries.get(gatherer);
     Beat beat = entry == null ? own : entry.beat;
-    return beat.waitMillis().getOrDefault(service, 0);
+    return beat.waits().getOrDefault(service, QueueWait.NONE);
   }
 
   /**
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PatienceWatch.java
@@ -0,0 +1,49 @@
+package org.arbutusspar.core.stage;
+
+import org.arbutusspar.core.Nanos;
+
+/**
+ * Tells clients that come back after a refusal from new ones by how long they still wait: clients
+ * of a route have about the same patience, and one that came back has less left.
+ *
+ * <p>Load pattern: a burst whose refused requests return while new ones arrive. Those that came
+ * back are late already; they go behind the ones that can be in time, but are not refused again.
+ */
+public final class PatienceWatch {
+
+  /** A client with less than this share of the usual patience has been here before. */
+  private static final double CAME_BACK_SHARE = 0.8;
+
+  /** The usual patience is the longest seen within one to two of these. */
+  private static final long PERIOD_NANOS = Nanos.ofMillis(10_000);
+
+  private long periodStart;
+  private boolean started;
+  private long longestBefore;
+  private long longest;
+
+  private PatienceWatch() {}
+
+  /** Returns a watch that has seen nothing. */
+  public static PatienceWatch create() {
+    return new PatienceWatch();
+  }
+
+  /**
+   * Takes a request.
+   *
+   * @param patienceMillis how long its client still waits
+   * @param now current time
+   * @return whether the client has probably been refused before
+   */
+  public boolean cameBack(long patienceMillis, long now) {
+    if (!started || now - periodStart >= PERIOD_NANOS) {
+      longestBefore = started ? longest : 0;
+      longest = 0;
+      periodStart = now;
+      started = true;
+    }
+    longest = Math.max(longest, patienceMillis);
+    return patienceMillis < CAME_BACK_SHARE * Math.max(longest, longestBefore);
+  }
+}
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -32,9 +32,19 @@
   /** A piece with less time to spare does not wait for a replica of its data centre. */
   private static final long CROSSING_SLACK_NANOS = Nanos.ofMillis(350);
 
+  /** Share of the room that results for requests which are late already may begin to fill. */
+  private static final double LATE_ROOM_SHARE = 0.7;
+
   private static final double SCARCE_ROOM_SHARE = 0.4;
+  /** Results of another gatherer are released or expire within about this time. */
+  private static final long UNKNOWN_ROOM_MILLIS = 1_000;
+
+  /** A replica that had no room is called again after this. */
+  private static final long NO_ROOM_PAUSE_MILLIS = 60;
+
   private static final double RATIO_WEIGHT = 0.3;
   private static final double MAX_RATIO = 20;
+  private static final double MIN_RATIO = 0.6;
   private static final double MIN_PIECES_PER_SECOND = 1;
   private static final long FIRST_PAUSE_MILLIS = 250;
   private static final int MAX_PAUSE_DOUBLINGS = 3;
@@ -191,11 +201,15 @@
    */
   private List<Piece> selectFor(Worker worker, List<List<Piece>> groups, long now) {
     List<Piece> selected = new ArrayList<>();
-    long room = limits.roomBytes() - worker.usedBytes;
+    long room = limits.roomBytes() - worker.takenBytes(now);
+    long lateRoom = (long) (limits.roomBytes() * (1 - LATE_ROOM_SHARE));
     for (boolean near : new boolean[] {true, false}) {
       for (List<Piece> group : groups) {
         Piece first = group.get(0);
-        boolean wanted = isNear(first, worker) == near && (near || mayCross(first, now));
+        boolean wanted =
+            isNear(first, worker) == near
+                && (near || mayCross(first, now))
+                && (isInTime(first, now) || room > lateRoom);
         long bytes = group.stream().mapToLong(Piece::resultBytes).sum();
         if (wanted && selected.size() + group.size() <= limits.batch() && bytes <= room) {
           selected.addAll(group);
@@ -206,17 +220,29 @@
     return selected.isEmpty() ? selectPart(groups, room) : selected;
   }
 
+  /** Selects part of the first group if it is too large for a call or for an empty replica. */
   private List<Piece> selectPart(List<List<Piece>> groups, long room) {
+    if (groups.isEmpty()) {
+      return List.of();
+    }
+    List<Piece> group = groups.get(0);
+    long bytes = group.stream().mapToLong(Piece::resultBytes).sum();
+    if (group.size() <= limits.batch() && bytes <= limits.roomBytes()) {
+      return List.of();
+    }
     List<Piece> selected = new ArrayList<>();
     long left = room;
-    for (Piece piece : groups.isEmpty() ? List.<Piece>of() : groups.get(0)) {
+    for (Piece piece : group) {
       if (selected.size() < limits.batch() && piece.resultBytes() <= left) {
         selected.add(piece);
         left -= piece.resultBytes();
       }
     }
-    boolean isWhole = !groups.isEmpty() && selected.size() == groups.get(0).size();
-    return isWhole ? List.of() : selected;
+    return selected;
+  }
+
+  private static boolean isInTime(Piece piece, long now) {
+    return now - piece.startBy() <= 0;
   }
 
   private static boolean isNear(Piece piece, Worker worker) {
@@ -265,11 +291,19 @@
     }
     Worker worker = workers.get(call.replica().id());
     end(call, worker);
-    worker.learn((now - call.startedAt()) / Math.max(1.0, call.expectedNanos()));
+    boolean allMade = results.stream().allMatch(answer -> answer.handle().isPresent());
+    if (allMade) {
+      worker.learn((now - call.startedAt()) / Math.max(1.0, call.expectedNanos()));
+    }
     Completion completion = new Completion(new ArrayList<>(), new ArrayList<>());
+    long refusedBytes = 0;
     for (int i = 0; i < results.size(); i++) {
+      if (results.get(i).reason().equals(PieceAnswer.NO_ROOM)) {
+        refusedBytes += call.pieces().get(i).resultBytes();
+      }
       take(call.pieces().get(i), results.get(i), worker, self, now, completion);
     }
+    worker.learnRoom(refusedBytes, now);
     return completion;
   }
 
@@ -290,9 +324,11 @@
     if (cancelledInCall.remove(piece.id())) {
       return;
     }
-    boolean again = answer.mayTryAgain() && piece.attempts() + 1 < MAX_ATTEMPTS;
+    boolean noRoom = answer.reason().equals(PieceAnswer.NO_ROOM);
+    Piece next = noRoom ? piece : piece.failedOnce();
+    boolean again = answer.mayTryAgain() && next.attempts() < MAX_ATTEMPTS;
     if (again && now - piece.deadline() < 0) {
-      queue.put(piece.id(), piece.failedOnce());
+      queue.put(piece.id(), next);
     } else {
       into.outcomes().add(PieceOutcome.none(piece.id(), answer.reason()));
     }
@@ -314,6 +350,10 @@
     Worker worker = workers.get(call.replica().id());
     end(call, worker);
     worker.pause(now);
+    if (!wasFull) {
+      long bytes = call.pieces().stream().mapToLong(Piece::resultBytes).sum();
+      worker.reserve(bytes, limits.keepMillis(), now);
+    }
     Completion completion = new Completion(new ArrayList<>(), new ArrayList<>());
     for (Piece piece : call.pieces()) {
       boolean cancelled = cancelledInCall.remove(piece.id());
@@ -374,20 +414,24 @@
    * Returns how long a piece that is submitted now waits for the start of its call, estimated.
    *
    * @param now current time
-   * @return the time in milliseconds
+   * @return the wait
    */
-  public double waitMillis(long now) {
+  public QueueWait queueWait(long now) {
     boolean anyFree = workers.values().stream().anyMatch(w -> w.isFree(limits.slots(), now));
     if (queue.isEmpty() && anyFree) {
-      return 0;
+      return QueueWait.NONE;
     }
     double perSecond =
         workers.values().stream()
             .filter(worker -> worker.listed)
             .mapToDouble(worker -> limits.slots() * callSize / seconds(callSize) / worker.ratio)
             .sum();
+    double millisPerPiece = 1_000.0 / Math.max(MIN_PIECES_PER_SECOND, perSecond);
     double untilFree = limits.millis(limits.batch() / 2) / Math.max(1, workers.size());
-    return untilFree + queue.size() * 1_000.0 / Math.max(MIN_PIECES_PER_SECOND, perSecond);
+    long inTime = queue.values().stream().filter(p -> isInTime(p, now)).count();
+    return new QueueWait(
+        (int) (untilFree + inTime * millisPerPiece),
+        (int) (untilFree + queue.size() * millisPerPiece));
   }
 
   private double seconds(double pieces) {
@@ -423,6 +467,8 @@
     private boolean listed = true;
     private int calls;
     private long usedBytes;
+    private long unknownBytes;
+    private long unknownUntil = Long.MIN_VALUE / 2;
     private double ratio = 1;
     private int failures;
     private long pausedUntil;
@@ -431,11 +477,28 @@
       return listed && calls < slots && now - pausedUntil >= 0;
     }
 
+    /** Results that this gatherer does not know of take room as well, for a while. */
+    private void learnRoom(long refusedBytes, long now) {
+      if (refusedBytes > 0) {
+        reserve(refusedBytes, UNKNOWN_ROOM_MILLIS, now);
+        pausedUntil = now + Nanos.ofMillis(NO_ROOM_PAUSE_MILLIS);
+      }
+    }
+
+    private void reserve(long bytes, long millis, long now) {
+      unknownBytes = (now - unknownUntil < 0 ? unknownBytes : 0) + bytes;
+      unknownUntil = now + Nanos.ofMillis(millis);
+    }
+
+    private long takenBytes(long now) {
+      return usedBytes + (now - unknownUntil < 0 ? unknownBytes : 0);
+    }
+
     private void learn(double actualOverExpected) {
       failures = 0;
       double observed = ratio * actualOverExpected;
       ratio += RATIO_WEIGHT * (observed - ratio);
-      ratio = Math.min(MAX_RATIO, Math.max(1.0 / MAX_RATIO, ratio));
+      ratio = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio));
     }
 
     private void pause(long now) {
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/QueueWait.java
@@ -0,0 +1,18 @@
+package org.arbutusspar.core.stage;
+
+/**
+ * How long a new piece of a service waits for the start of its call, estimated.
+ *
+ * @param inTimeMillis wait of a piece whose request can still be in time, in milliseconds
+ * @param lateMillis wait of a piece whose request is late already, in milliseconds
+ */
+public record QueueWait(int inTimeMillis, int lateMillis) {
+
+  /** Nothing waits. */
+  public static final QueueWait NONE = new QueueWait(0, 0);
+
+  /** Returns the wait of one kind of piece. */
+  public int millis(boolean late) {
+    return late ? lateMillis : inTimeMillis;
+  }
+}
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
@@ -11,20 +11,19 @@
  */
 public final class StageAdmission {
 
-  /** Share of the target that the forecast may take, for the most urgent requests. */
-  private static final double MOST_SHARE = 1.0;
-
-  /** The share falls by this for each rank of priority, so that urgent requests go on longer. */
-  private static final double SHARE_PER_RANK = 0.08;
-
-  private static final int LAST_RANK = 4;
+  /**
+   * Share of the time to spare that waiting may take, by rank of priority: work of the same stages
+   * for less urgent requests makes room first.
+   */
+  private static final double[] WAIT_SHARES = {1.2, 0.95, 0.45};
 
   private StageAdmission() {}
 
   /**
    * Decides on a request.
    *
-   * @param forecastMillis expected time until its answer begins
+   * @param workMillis expected time of its work without any waiting
+   * @param waitMillis expected waiting
    * @param targetMillis time within which its answer counts as in time
    * @param leftMillis time until its deadline, less the time that the answer itself takes
    * @param priority rank of the request, 0 is the most urgent
@@ -32,20 +31,19 @@
    * @return the decision
    */
   public static Verdict decide(
-      double forecastMillis,
+      double workMillis,
+      double waitMillis,
       double targetMillis,
       double leftMillis,
       int priority,
       boolean cameBack) {
     Validate.isTrue(priority >= 0, "priority must not be negative");
-    if (forecastMillis > leftMillis) {
+    if (workMillis + waitMillis > leftMillis) {
       return Verdict.NO_TIME;
     }
-    double share = MOST_SHARE - SHARE_PER_RANK * Math.min(LAST_RANK, priority);
-    if (!cameBack && forecastMillis > share * targetMillis) {
-      return Verdict.OVERLOAD;
-    }
-    return Verdict.TAKE;
+    double spare = Math.max(0, targetMillis - workMillis);
+    double share = WAIT_SHARES[Math.min(WAIT_SHARES.length - 1, priority)];
+    return !cameBack && waitMillis > share * spare ? Verdict.OVERLOAD : Verdict.TAKE;
   }
 
   /** A decision. */
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/UrgencyOrder.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/UrgencyOrder.java
@@ -1,16 +1,21 @@
 package org.arbutusspar.core.stage;
 
 import java.util.Comparator;
+import org.arbutusspar.core.Nanos;
 
 /**
  * Pieces of requests that can still be in time go first, the one that must start soonest before the
- * others; the rest follow by priority and deadline.
+ * others, where each rank of priority counts like some time; the rest follow by priority and
+ * deadline.
  *
  * <p>Load pattern: a burst that fills the queue for longer than a request may take. Work for
  * requests that are late already would make those late that are not.
  */
 public final class UrgencyOrder implements PieceOrder {
 
+  /** A rank of priority goes before a start that is sooner by less than this. */
+  private static final long RANK_NANOS = Nanos.ofMillis(250);
+
   private UrgencyOrder() {}
 
   /** Returns the order. */
@@ -20,12 +25,16 @@
 
   @Override
   public Comparator<Piece> at(long now) {
-    return Comparator.comparing((Piece piece) -> now - piece.startBy() > 0)
-        .thenComparingLong(piece -> inTime(piece, now) ? piece.startBy() - now : piece.priority())
+    return Comparator.comparing((Piece piece) -> !isInTime(piece, now))
+        .thenComparingLong(piece -> isInTime(piece, now) ? weighted(piece, now) : piece.priority())
         .thenComparingLong(piece -> piece.deadline() - now);
   }
 
-  private static boolean inTime(Piece piece, long now) {
+  private static boolean isInTime(Piece piece, long now) {
     return now - piece.startBy() <= 0;
   }
+
+  private static long weighted(Piece piece, long now) {
+    return piece.startBy() - now + piece.priority() * RANK_NANOS;
+  }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -298,7 +298,7 @@
 
   private void updateBeat() {
     Beat fresh =
-        new Beat(ready, leaving, configuration.offset(), listed.offset(), pieces.waitMillis());
+        new Beat(ready, leaving, configuration.offset(), listed.offset(), pieces.waits());
     Beat before = fellows.own();
     fellows.own(fresh);
     if (before.ready() != fresh.ready() || before.leaving() != fresh.leaving()) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -18,6 +18,7 @@
 import org.arbutusspar.core.stage.PieceGatherer;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
+import org.arbutusspar.core.stage.QueueWait;
 import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.core.stage.UrgencyOrder;
 import org.arbutusspar.io.EventLog;
@@ -33,9 +34,9 @@
 final class PieceWork {
 
   /** A call may take this many times its expected time, and then some. */
-  private static final double CALL_PATIENCE = 2.5;
+  private static final double CALL_PATIENCE = 3;
 
-  private static final long CALL_SLACK_MILLIS = 300;
+  private static final long CALL_SLACK_MILLIS = 400;
 
   /** Longest time for which releases wait for others, so that one call releases many. */
   private static final long RELEASE_MILLIS = 60;
@@ -179,10 +180,10 @@
   }
 
   /** Returns how long a new piece waits, for each service whose pieces are gathered here. */
-  Map<String, Integer> waitMillis() {
-    Map<String, Integer> waits = new HashMap<>();
+  Map<String, QueueWait> waits() {
+    Map<String, QueueWait> waits = new HashMap<>();
     for (PieceGatherer gatherer : gatherers.values()) {
-      waits.put(gatherer.service(), (int) Math.round(gatherer.waitMillis(loop.now())));
+      waits.put(gatherer.service(), gatherer.queueWait(loop.now()));
     }
     return waits;
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -8,6 +8,8 @@
 import org.arbutusspar.core.placement.PromptAffinityPlacement;
 import org.arbutusspar.core.placement.ReplicaBook;
 import org.arbutusspar.core.placement.WindowedRetryBudget;
+import org.arbutusspar.core.stage.ForecastCorrection;
+import org.arbutusspar.core.stage.PatienceWatch;
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.http.RawClient;
 import org.arbutusspar.platform.PlatformSettings;
@@ -22,6 +24,8 @@
  * @param fellows the other instances
  * @param bounds time limits and budgets to keep
  * @param budgets retry budgets by service
+ * @param corrections of the forecasts of stages, by route
+ * @param patience how long clients usually wait, by route
  * @param log told of decisions
  * @param metrics counts outcomes
  */
@@ -33,6 +37,8 @@
     FellowTable fellows,
     PlatformSettings.Bounds bounds,
     Map<String, WindowedRetryBudget> budgets,
+    Map<String, ForecastCorrection> corrections,
+    Map<String, PatienceWatch> patience,
     EventLog log,
     GatewayMetrics metrics) {
 
@@ -55,13 +61,24 @@
       EventLog log,
       GatewayMetrics metrics) {
     return new RequestContext(
-        loop, client, replicas, pieces, fellows, bounds, new HashMap<>(), log, metrics);
+        loop, client, replicas, pieces, fellows, bounds, new HashMap<>(), new HashMap<>(), new HashMap<>(), log, metrics);
   }
 
   Placement placement(boolean modelEngine) {
     return modelEngine ? AFFINITY : LEAST_LOAD;
   }
 
+  ForecastCorrection correction(String route) {
+    return corrections.computeIfAbsent(route, name -> ForecastCorrection.create());
+  }
+
+  /** Takes a request; returns whether its client has probably been refused before. */
+  boolean cameBack(String route, long patienceMillis) {
+    return patience
+        .computeIfAbsent(route, name -> PatienceWatch.create())
+        .cameBack(patienceMillis, loop.now());
+  }
+
   /** Counts a client's request for a service. */
   void onRequest(String service) {
     budget(service).onRequest(loop.now());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -22,6 +22,7 @@
 import org.arbutusspar.core.routing.RouteStage;
 import org.arbutusspar.core.routing.ServedService;
 import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.core.stage.ForecastCorrection;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -53,12 +54,18 @@
 
   private static final int MAX_ENGINE_PRIORITY = 9;
 
-  /** A client that waits for less than this share of its route's timeout has been here before. */
-  private static final double CAME_BACK_SHARE = 0.9;
-
   /** Clients come back within a third of the time that they have left; a little less is asked. */
   private static final double BACKOFF_SHARE = 0.31;
 
+  /** Share of the time to spare by which a stage is put off. */
+  private static final double DEFERRED_SHARE = 0.6;
+
+  /** Stages are not put off for less than this. */
+  private static final double LEAST_DEFERRAL_MILLIS = 100;
+
+  /** Less than this may cross data centres without a thought. */
+  private static final long LARGE_BYTES = 200_000;
+
   /** Times to come back are spread between this share and all of the longest one. */
   private static final double BACKOFF_SPREAD = 0.5;
 
@@ -77,6 +84,8 @@
   private final Set<String> tried = new HashSet<>();
   private Optional<StagePlan> plan = Optional.empty();
   private Optional<DataCentre> reader = Optional.empty();
+  private boolean cameBack;
+  private double plainForecast;
   private List<StageResult> held = new ArrayList<>();
   private int sent;
   private boolean mayHaveRun;
@@ -140,12 +149,21 @@
 
   private void startStages() {
     plan = Optional.of(StagePlan.create(route.stages(), request.pieceCounts()));
-    double forecast = forecastMillis();
-    boolean cameBack =
-        request.patienceMillis().isPresent()
-            && request.patienceMillis().getAsLong() < CAME_BACK_SHARE * route.timeoutMillis();
+    cameBack =
+        context.cameBack(
+            route.name(), request.patienceMillis().orElse(DEFAULT_PATIENCE_MILLIS));
+    plainForecast = forecastMillis(true);
+    double work = forecastMillis(false);
+    ForecastCorrection correction = context.correction(route.name());
+    double wait = correction.apply(plainForecast) - work;
     StageAdmission.Verdict verdict =
-        StageAdmission.decide(forecast, route.targetMillis(), leftMillis(), priority(), cameBack);
+        StageAdmission.decide(
+            work + ENGINE_START_MILLIS,
+            wait,
+            route.targetMillis(),
+            leftMillis(),
+            priority(),
+            cameBack);
     context
         .log()
         .write(
@@ -154,8 +172,10 @@
             request.id(),
             "verdict",
             verdict,
-            "forecast_ms",
-            Math.round(forecast),
+            "work_ms",
+            Math.round(work),
+            "wait_ms",
+            Math.round(wait),
             "target_ms",
             route.targetMillis(),
             "left_ms",
@@ -170,24 +190,30 @@
     }
   }
 
-  /** Returns the expected time of the longest chain of stages and of the engine's start. */
-  private double forecastMillis() {
+  /** Returns the expected time of the longest chain of stages. */
+  private double forecastMillis(boolean withWaiting) {
     StagePlan stages = plan.orElseThrow();
     double longest = 0;
     for (int stage = 0; stage < route.stages().size(); stage++) {
-      double chain = 0;
-      for (int each : stages.pathFrom(stage)) {
-        chain += stages.pieces(each) == 0 ? 0 : stageMillis(stages, each);
-      }
-      longest = Math.max(longest, chain);
+      longest = Math.max(longest, chainMillis(stages, stage, withWaiting));
+    }
+    return Math.max(1, longest);
+  }
+
+  /** Returns the expected time of a stage and of those that wait for it. */
+  private double chainMillis(StagePlan stages, int stage, boolean withWaiting) {
+    double millis = 0;
+    for (int each : stages.pathFrom(stage)) {
+      millis += stages.pieces(each) == 0 ? 0 : stageMillis(each, withWaiting);
     }
-    return longest + ENGINE_START_MILLIS;
+    return millis;
   }
 
-  private double stageMillis(StagePlan stages, int stage) {
+  private double stageMillis(int stage, boolean withWaiting) {
     String name = route.stages().get(stage).service();
     double work = state.pieceLimits(name).map(l -> l.millis(l.batch() / 2)).orElse(0.0);
-    return work + context.fellows().waitMillis(name, context.loop().now());
+    long now = context.loop().now();
+    return work + (withWaiting ? context.fellows().queueWait(name, now).millis(cameBack) : 0);
   }
 
   /** Chooses the replica early, so that large results are made in its data centre. */
@@ -210,22 +236,44 @@
   private void submitNext() {
     StagePlan stages = plan.orElseThrow();
     for (int stage : stages.startNext()) {
-      submit(stages, stage);
+      submitInTime(stages, stage);
     }
     if (stages.isDone()) {
       held = new ArrayList<>(stages.requestInputs());
+      if (!cameBack) {
+        context.correction(route.name()).learn(plainForecast, elapsedMillis());
+      }
       context.metrics().onStages(elapsedMillis() / MILLIS_PER_SECOND);
       dispatch();
     }
   }
 
+  /**
+   * Submits a stage, or lets it wait if other stages take longer: its results would only take room
+   * until those are done.
+   */
+  private void submitInTime(StagePlan stages, int stage) {
+    double spare = (plainForecast - chainMillis(stages, stage, true)) * DEFERRED_SHARE - elapsedMillis();
+    if (stages.isLast(stage) && spare > LEAST_DEFERRAL_MILLIS) {
+      context.loop().after(Math.round(spare), () -> submitUnlessEnded(stages, stage));
+    } else {
+      submit(stages, stage);
+    }
+  }
+
+  private void submitUnlessEnded(StagePlan stages, int stage) {
+    if (!ended) {
+      submit(stages, stage);
+    }
+  }
+
   private void submit(StagePlan stages, int stage) {
     RouteStage spec = route.stages().get(stage);
     List<StageResult> results = stages.inputsOf(stage);
     List<String> inputs = results.stream().map(StageResult::handle).toList();
     Optional<DataCentre> near = near(stages, stage, results);
     long rest = pathMillis(stages, stage) + ENGINE_START_MILLIS;
-    long startBy = arrivedAt + Nanos.ofMillis(route.targetMillis() - rest);
+    long startBy = arrivedAt + Nanos.ofMillis(cameBack ? 0 : route.targetMillis() - rest);
     List<Piece> pieces = new ArrayList<>();
     for (int i = 0; i < stages.pieces(stage); i++) {
       pieces.add(
@@ -245,8 +293,12 @@
   }
 
   private Optional<DataCentre> near(StagePlan stages, int stage, List<StageResult> inputs) {
-    boolean forRequest = stages.isLast(stage) && inputs.isEmpty();
-    return forRequest ? reader : placeOf(inputs);
+    if (inputs.isEmpty()) {
+      boolean large = route.stages().get(stage).resultBytes() >= LARGE_BYTES;
+      return stages.isLast(stage) && large ? reader : Optional.empty();
+    }
+    long read = inputs.stream().mapToLong(StageResult::bytes).sum() * stages.pieces(stage);
+    return read >= LARGE_BYTES ? placeOf(inputs) : Optional.empty();
   }
 
   /** Returns the time that a stage and those that wait for it take, each in a call of its own. */
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
@@ -13,6 +13,7 @@
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
+import org.arbutusspar.core.stage.QueueWait;
 import org.arbutusspar.core.stage.StageResult;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -139,9 +140,10 @@
   private static void pack(MessageBufferPacker packer, Beat beat) throws IOException {
     packer.packBoolean(beat.ready()).packBoolean(beat.leaving());
     packer.packLong(beat.configurationOffset()).packLong(beat.replicasOffset());
-    packer.packMapHeader(beat.waitMillis().size());
-    for (Map.Entry<String, Integer> entry : beat.waitMillis().entrySet()) {
-      packer.packString(entry.getKey()).packInt(entry.getValue());
+    packer.packMapHeader(beat.waits().size());
+    for (Map.Entry<String, QueueWait> entry : beat.waits().entrySet()) {
+      packer.packString(entry.getKey()).packInt(entry.getValue().inTimeMillis());
+      packer.packInt(entry.getValue().lateMillis());
     }
   }
 
@@ -154,14 +156,15 @@
         waits(unpacker));
   }
 
-  private static Map<String, Integer> waits(MessageUnpacker unpacker) throws IOException {
+  private static Map<String, QueueWait> waits(MessageUnpacker unpacker) throws IOException {
     int size = unpacker.unpackMapHeader();
     if (size > MAX_LIST) {
       throw new IOException("map of " + size + " entries is too large");
     }
-    Map<String, Integer> waits = new HashMap<>();
+    Map<String, QueueWait> waits = new HashMap<>();
     for (int i = 0; i < size; i++) {
-      waits.put(unpacker.unpackString(), unpacker.unpackInt());
+      String service = unpacker.unpackString();
+      waits.put(service, new QueueWait(unpacker.unpackInt(), unpacker.unpackInt()));
     }
     return waits;
   }
