Stages go by the rank of the route

Cause: care guides were refused while size checks of workspaces with a rank of their own were taken; the workspaces' ranks stood in for the routes', so kinds of requests were not told apart. Change: admission and order of stage work use the route's rank; engines get the workspace's. Ruled out: wrong forecasts: requests taken as new were in time in nearly all cases.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceAnswer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceAnswer.java
@@ -15,7 +15,6 @@
   /** Reason of a piece for whose result the replica had no room. */
   public static final String NO_ROOM = "no-room";
 
-
   /** Checks the components. */
   public PieceAnswer {
     Objects.requireNonNull(handle, "handle");
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -36,6 +36,7 @@
   private static final double LATE_ROOM_SHARE = 0.7;
 
   private static final double SCARCE_ROOM_SHARE = 0.4;
+
   /** Results of another gatherer are released or expire within about this time. */
   private static final long UNKNOWN_ROOM_MILLIS = 1_000;
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
@@ -15,7 +15,7 @@
    * Share of the time to spare that waiting may take, by rank of priority: work of the same stages
    * for less urgent requests makes room first.
    */
-  private static final double[] WAIT_SHARES = {1.2, 0.95, 0.45};
+  private static final double[] WAIT_SHARES = {1.2, 0.95, 0.65};
 
   private StageAdmission() {}
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -297,8 +297,7 @@
   }
 
   private void updateBeat() {
-    Beat fresh =
-        new Beat(ready, leaving, configuration.offset(), listed.offset(), pieces.waits());
+    Beat fresh = new Beat(ready, leaving, configuration.offset(), listed.offset(), pieces.waits());
     Beat before = fellows.own();
     fellows.own(fresh);
     if (before.ready() != fresh.ready() || before.leaving() != fresh.leaving()) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -61,7 +61,17 @@
       EventLog log,
       GatewayMetrics metrics) {
     return new RequestContext(
-        loop, client, replicas, pieces, fellows, bounds, new HashMap<>(), new HashMap<>(), new HashMap<>(), log, metrics);
+        loop,
+        client,
+        replicas,
+        pieces,
+        fellows,
+        bounds,
+        new HashMap<>(),
+        new HashMap<>(),
+        new HashMap<>(),
+        log,
+        metrics);
   }
 
   Placement placement(boolean modelEngine) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -150,8 +150,7 @@
   private void startStages() {
     plan = Optional.of(StagePlan.create(route.stages(), request.pieceCounts()));
     cameBack =
-        context.cameBack(
-            route.name(), request.patienceMillis().orElse(DEFAULT_PATIENCE_MILLIS));
+        context.cameBack(route.name(), request.patienceMillis().orElse(DEFAULT_PATIENCE_MILLIS));
     plainForecast = forecastMillis(true);
     double work = forecastMillis(false);
     ForecastCorrection correction = context.correction(route.name());
@@ -162,7 +161,7 @@
             wait,
             route.targetMillis(),
             leftMillis(),
-            priority(),
+            route.priority(),
             cameBack);
     context
         .log()
@@ -253,7 +252,8 @@
    * until those are done.
    */
   private void submitInTime(StagePlan stages, int stage) {
-    double spare = (plainForecast - chainMillis(stages, stage, true)) * DEFERRED_SHARE - elapsedMillis();
+    double spare =
+        (plainForecast - chainMillis(stages, stage, true)) * DEFERRED_SHARE - elapsedMillis();
     if (stages.isLast(stage) && spare > LEAST_DEFERRAL_MILLIS) {
       context.loop().after(Math.round(spare), () -> submitUnlessEnded(stages, stage));
     } else {
@@ -282,7 +282,7 @@
               context.fellows().self().name(),
               inputs.isEmpty() ? request.pieceKey() : "",
               inputs,
-              priority(),
+              route.priority(),
               startBy,
               deadline - Nanos.ofMillis(ENGINE_START_MILLIS),
               spec.resultBytes(),
