--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -261,7 +261,7 @@
 
   private PieceCall begin(Worker worker, List<Piece> pieces, long now) {
     long expected = Nanos.ofMillis((long) (limits.millis(pieces.size()) * worker.ratio));
-    PieceCall call = new PieceCall(++lastNumber, worker.replica, pieces, now, expected);
+    final PieceCall call = new PieceCall(++lastNumber, worker.replica, pieces, now, expected);
     pieces.forEach(piece -> queue.remove(piece.id()));
     if (!queue.isEmpty()) {
       callSize += RATIO_WEIGHT * (pieces.size() - callSize);
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/flow/CoordinatorTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/flow/CoordinatorTest.java
@@ -52,7 +52,7 @@
   }
 
   @Test
-  void anAnswerThatComesTwiceOrLateIsNotUsedAgain() {
+  void answerThatComesTwiceOrLateIsNotUsedAgain() {
     final CallerId caller = arrivePipeline("x");
     Action.Send encode = world.lastSend();
     world.answer(encode);
@@ -64,7 +64,7 @@
   }
 
   @Test
-  void anAnswerOfAnotherKindOrCutInTheMiddleIsTriedAgain() {
+  void answerOfAnotherKindOrCutInTheMiddleIsTriedAgain() {
     arrivePipeline("x");
     Action.Send encode = world.lastSend();
     world.handle(
@@ -104,7 +104,7 @@
   }
 
   @Test
-  void anErrorOfThePlainServiceIsFailureAndNotRepeated() {
+  void errorOfThePlainServiceIsFailureAndNotRepeated() {
     final CallerId caller = arriveOnce("x");
     world.fail(world.lastSend(), AttemptFailure.Kind.ERROR);
     assertEquals(Outcome.Verdict.FAILED, world.refusal(caller).verdict());
@@ -124,7 +124,7 @@
   }
 
   @Test
-  void anIdentifierCannotBeReusedForAnotherRequest() {
+  void identifierCannotBeReusedForAnotherRequest() {
     arriveOnce("x");
     Request other = world.onceRequest(world.key("big", "x"), 1_000);
     CallerId caller =
@@ -146,7 +146,7 @@
   }
 
   @Test
-  void anIdentifierOfAnotherInstanceIsForwardedWhileItIsReachable() {
+  void identifierOfAnotherInstanceIsForwardedWhileItIsReachable() {
     Home other = new Home(InstanceId.of("b"), 9);
     world.handle(new Event.FellowsChanged(Set.of(other), 2));
     RequestKey key = FakeWorld.key(other, "big", "x", 0);
@@ -156,7 +156,7 @@
   }
 
   @Test
-  void anIdentifierWhoseHomeIsGoneIsNeverStartedHere() {
+  void identifierWhoseHomeIsGoneIsNeverStartedHere() {
     Home gone = new Home(world.home.instance(), 99);
     final CallerId caller =
         world.arrive(world.onceRequest(FakeWorld.key(gone, "big", "x", 0), 1_000));
@@ -166,7 +166,7 @@
   }
 
   @Test
-  void anOldIdentifierIsRefusedTruthfullyOrNotAtAll() {
+  void oldIdentifierIsRefusedTruthfullyOrNotAtAll() {
     final CallerId expired =
         world.arrive(world.onceRequest(FakeWorld.key(world.home, "big", "x", 120_000), 1_000));
     assertEquals(Outcome.Verdict.NOT_RUN, world.refusal(expired).verdict());
@@ -279,7 +279,7 @@
   }
 
   @Test
-  void anUnknownTargetIsRefused() {
+  void unknownTargetIsRefused() {
     Request known = world.pipelineRequest(world.key("big", "x"), 1_000);
     Request unknown =
         new Request(
--- /dev/null
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/Pieces.java
@@ -0,0 +1,60 @@
+package org.arbutusspar.core.stage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.core.routing.PieceLimits;
+
+/** Pieces, replicas and limits for tests. */
+final class Pieces {
+
+  static final DataCentre HERE = DataCentre.of("here");
+  static final DataCentre THERE = DataCentre.of("there");
+
+  private Pieces() {}
+
+  static long millis(long millis) {
+    return Nanos.ofMillis(millis);
+  }
+
+  static PieceLimits limits(int batch, long roomBytes) {
+    return new PieceLimits(1, batch, 240, 10, roomBytes, 4_000);
+  }
+
+  static UpstreamReplica replica(String id, DataCentre place) {
+    return new UpstreamReplica(id, "s", new Endpoint("10.0.0.1", 80), place, 1, false, 0);
+  }
+
+  static Piece piece(String request, int index) {
+    return piece(request, index, 0, 1_000, Optional.empty());
+  }
+
+  static Piece piece(
+      String request, int index, int rank, long startByMillis, Optional<DataCentre> near) {
+    return new Piece(
+        new PieceId(request, 0, index),
+        "origin",
+        "key",
+        List.of(),
+        rank,
+        millis(startByMillis),
+        millis(10_000),
+        100,
+        near,
+        0);
+  }
+
+  static List<PieceAnswer> allMade(PieceCall call) {
+    List<PieceAnswer> answers = new ArrayList<>();
+    call.pieces().forEach(piece -> answers.add(PieceAnswer.made("10.0.0.1:80/" + piece.id())));
+    return answers;
+  }
+
+  static List<PieceAnswer> allRefused(PieceCall call, String reason) {
+    return call.pieces().stream().map(p -> PieceAnswer.none(reason, true)).toList();
+  }
+}
--- /dev/null
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/StageAdmissionTest.java
@@ -0,0 +1,72 @@
+package org.arbutusspar.core.stage;
+
+import static org.arbutusspar.core.stage.Pieces.millis;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class StageAdmissionTest {
+
+  private static StageAdmission.Verdict decide(double wait, double left, int rank, boolean again) {
+    return StageAdmission.decide(1_200, wait, 2_000, left, rank, again);
+  }
+
+  @Test
+  void takesWhatCanBeInTime() {
+    assertEquals(StageAdmission.Verdict.TAKE, decide(0, 12_000, 2, false));
+    assertEquals(StageAdmission.Verdict.TAKE, decide(700, 12_000, 0, false));
+  }
+
+  @Test
+  void lessUrgentRequestsMakeRoomFirst() {
+    assertEquals(StageAdmission.Verdict.OVERLOAD, decide(700, 12_000, 2, false));
+    assertEquals(StageAdmission.Verdict.OVERLOAD, decide(1_200, 12_000, 0, false));
+  }
+
+  @Test
+  void requestsThatCameBackAreTakenWhileThereIsTime() {
+    assertEquals(StageAdmission.Verdict.TAKE, decide(3_000, 6_000, 2, true));
+    assertEquals(StageAdmission.Verdict.NO_TIME, decide(5_000, 6_000, 2, true));
+  }
+
+  /** Replays cojulun quiet-1, where clients of one route wait for 0.86 to 1.0 of its timeout. */
+  @Test
+  void impatientClientsAreNotTakenForReturnedOnes() {
+    PatienceWatch watch = PatienceWatch.create();
+    for (int i = 0; i < 200; i++) {
+      assertFalse(watch.cameBack(10_300 + i * 8, millis(i * 100)));
+    }
+    assertTrue(watch.cameBack(8_500, millis(20_000)));
+  }
+
+  @Test
+  void routeWithShorterTimeoutIsLearnedAnew() {
+    PatienceWatch watch = PatienceWatch.create();
+    assertFalse(watch.cameBack(12_000, 0));
+    assertTrue(watch.cameBack(6_000, millis(1_000)));
+    assertTrue(watch.cameBack(6_000, millis(11_000)));
+    assertFalse(watch.cameBack(6_000, millis(22_000)));
+  }
+
+  @Test
+  void forecastsFollowWhatStagesTake() {
+    ForecastCorrection correction = ForecastCorrection.create();
+    for (int i = 0; i < 100; i++) {
+      correction.learn(1_000, 1_500);
+    }
+    assertEquals(1_500, correction.apply(1_000), 10);
+  }
+
+  @Test
+  void urgentPiecesGoFirstAndLateOnesLast() {
+    Piece late = Pieces.piece("late", 0, 0, -10, Optional.empty());
+    Piece soon = Pieces.piece("soon", 0, 2, 100, Optional.empty());
+    Piece urgent = Pieces.piece("urgent", 0, 0, 400, Optional.empty());
+    var order = UrgencyOrder.create().at(0);
+    assertTrue(order.compare(soon, late) < 0);
+    assertTrue(order.compare(urgent, soon) < 0, "two ranks count like half a second");
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
@@ -6,6 +6,7 @@
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.http.StreamHost;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -76,6 +77,10 @@
       return false;
     }
     head(status, fields);
+    if (!response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
+      // Without it Jetty ends an answer on a closing connection by the close alone.
+      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
+    }
     return true;
   }
 
@@ -110,7 +115,7 @@
     State before = state.getAndSet(State.ENDED);
     if (before != State.ENDED) {
       StreamHost.unwatch(request);
-      request.getConnectionMetaData().getConnection().getEndPoint().close(cause);
+      StreamHost.reset(request, cause);
       callback.failed(cause);
     }
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -44,7 +44,6 @@
   private static final int UNAVAILABLE = 503;
   private static final int NOT_FOUND = 404;
   private static final int LOG_LINES_PER_SECOND = 200;
-  private static final int METRICS_PORT = 9464;
 
   /** Longest time for making a connection to a replica. */
   private static final long CONNECT_MILLIS = 800;
@@ -160,10 +159,8 @@
     registerGauges();
     host.add(settings.clients(), clients);
     host.add(settings.readiness(), this::answerReadiness);
-    if (settings.directory() != null) {
-      host.add(settings.directory(), this::answerAddresses);
-    }
-    host.add(new Endpoint(settings.address(), METRICS_PORT), this::answerMetrics);
+    host.add(settings.directory(), this::answerAddresses);
+    settings.metrics().ifPresent(endpoint -> host.add(endpoint, this::answerMetrics));
     host.start();
     loop.post(
         () -> {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMain.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMain.java
@@ -66,7 +66,7 @@
     try {
       ClassTraining.run();
       return 0;
-    } catch (IOException | SettingsException | RuntimeException e) {
+    } catch (IOException | RuntimeException e) {
       EventLog.create(10).write("training-failed", "error", e);
       return EXIT_START;
     }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
@@ -7,6 +7,7 @@
 import org.arbutusspar.core.route.Endpoint;
 import org.arbutusspar.io.StepException;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
@@ -53,7 +54,7 @@
     configuration.setSendServerVersion(false);
     configuration.setSendDateHeader(false);
     configuration.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
-    configuration.setUriCompliance(UriCompliance.RFC3986);
+    configuration.setUriCompliance(UriCompliance.UNSAFE); // targets are passed on as they stand
     return configuration;
   }
 
@@ -137,6 +138,20 @@
     }
   }
 
+  /**
+   * Resets the connection of a request, so that no answer on it looks whole.
+   *
+   * @param request the request, not null
+   * @param cause why, not null
+   */
+  public static void reset(Request request, Throwable cause) {
+    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    if (endPoint instanceof WatchedEndPoint watched) {
+      watched.resetOnClose();
+    }
+    endPoint.close(cause);
+  }
+
   /** Answers requests of an endpoint. */
   public interface StreamHandler {
 
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/WatchedEndPoint.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/WatchedEndPoint.java
@@ -1,10 +1,14 @@
 package org.arbutusspar.io.http;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.arbutusspar.io.KeyValueLine;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -18,6 +22,7 @@
  */
 final class WatchedEndPoint extends SocketChannelEndPoint {
 
+  private static final Logger LOG = LogManager.getLogger(WatchedEndPoint.class);
   private static final int EARLY_BYTES = 1_024;
 
   private final Executor executor;
@@ -65,6 +70,15 @@
     }
   }
 
+  /** Makes the connection end by a reset. */
+  void resetOnClose() {
+    try {
+      getChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
+    } catch (IOException e) {
+      LOG.debug(KeyValueLine.event("linger-failed").with("error", e));
+    }
+  }
+
   private void tellClosed() {
     Runnable closed;
     synchronized (lock) {
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
@@ -51,30 +51,30 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       if (message instanceof FellowMessage.Hello hello) {
         packer.packInt(HELLO);
-        pack(packer, hello.self());
+        packFellow(packer, hello.self());
         packer.packArrayHeader(hello.known().size());
         for (Fellow fellow : hello.known()) {
-          pack(packer, fellow);
+          packFellow(packer, fellow);
         }
       } else if (message instanceof FellowMessage.Alive alive) {
         packer.packInt(ALIVE);
-        pack(packer, alive.beat());
+        packBeat(packer, alive.beat());
       } else if (message instanceof FellowMessage.Pieces pieces) {
         packer.packInt(PIECES).packString(pieces.service());
         packer.packArrayHeader(pieces.pieces().size());
         for (Piece piece : pieces.pieces()) {
-          pack(packer, piece, now);
+          packPiece(packer, piece, now);
         }
       } else if (message instanceof FellowMessage.Outcomes outcomes) {
         packer.packInt(OUTCOMES).packArrayHeader(outcomes.outcomes().size());
         for (PieceOutcome outcome : outcomes.outcomes()) {
-          pack(packer, outcome);
+          packOutcome(packer, outcome);
         }
       } else if (message instanceof FellowMessage.Cancel cancel) {
         packer.packInt(CANCEL).packString(cancel.requestId());
       } else if (message instanceof FellowMessage.Release release) {
         packer.packInt(RELEASE);
-        pack(packer, release.handles());
+        packTexts(packer, release.handles());
       } else if (message instanceof FellowMessage.TableRequest request) {
         packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
       } else if (message instanceof FellowMessage.TableData data) {
@@ -122,7 +122,7 @@
     }
   }
 
-  private static void pack(MessageBufferPacker packer, Fellow fellow) throws IOException {
+  private static void packFellow(MessageBufferPacker packer, Fellow fellow) throws IOException {
     packer.packString(fellow.name()).packLong(fellow.incarnation());
     packer.packString(fellow.dataCentre().value());
     packer.packString(fellow.links().toString()).packString(fellow.clients().toString());
@@ -137,7 +137,7 @@
         Endpoint.parse(unpacker.unpackString()));
   }
 
-  private static void pack(MessageBufferPacker packer, Beat beat) throws IOException {
+  private static void packBeat(MessageBufferPacker packer, Beat beat) throws IOException {
     packer.packBoolean(beat.ready()).packBoolean(beat.leaving());
     packer.packLong(beat.configurationOffset()).packLong(beat.replicasOffset());
     packer.packMapHeader(beat.waits().size());
@@ -169,7 +169,7 @@
     return waits;
   }
 
-  private static void pack(MessageBufferPacker packer, PieceId id) throws IOException {
+  private static void packId(MessageBufferPacker packer, PieceId id) throws IOException {
     packer.packString(id.requestId()).packInt(id.stage()).packInt(id.index());
   }
 
@@ -177,10 +177,11 @@
     return new PieceId(unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackInt());
   }
 
-  private static void pack(MessageBufferPacker packer, Piece piece, long now) throws IOException {
-    pack(packer, piece.id());
+  private static void packPiece(MessageBufferPacker packer, Piece piece, long now)
+      throws IOException {
+    packId(packer, piece.id());
     packer.packString(piece.origin()).packString(piece.key());
-    pack(packer, piece.inputs());
+    packTexts(packer, piece.inputs());
     packer.packInt(piece.priority()).packLong(piece.startBy() - now);
     packer.packLong(piece.deadline() - now).packLong(piece.resultBytes());
     packer.packString(piece.near().map(DataCentre::value).orElse(""));
@@ -204,8 +205,9 @@
     return name.isEmpty() ? Optional.empty() : Optional.of(DataCentre.of(name));
   }
 
-  private static void pack(MessageBufferPacker packer, PieceOutcome outcome) throws IOException {
-    pack(packer, outcome.id());
+  private static void packOutcome(MessageBufferPacker packer, PieceOutcome outcome)
+      throws IOException {
+    packId(packer, outcome.id());
     packer.packString(outcome.reason()).packBoolean(outcome.result().isPresent());
     if (outcome.result().isPresent()) {
       StageResult result = outcome.result().get();
@@ -227,7 +229,7 @@
         reason);
   }
 
-  private static void pack(MessageBufferPacker packer, List<String> texts) throws IOException {
+  private static void packTexts(MessageBufferPacker packer, List<String> texts) throws IOException {
     packer.packArrayHeader(texts.size());
     for (String text : texts) {
       packer.packString(text);
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameNetwork.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameNetwork.java
@@ -202,6 +202,9 @@
 
   @Override
   public void close() {
+    if (closed) {
+      return;
+    }
     closed = true;
     selector.wakeup();
     try {
--- /dev/null
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/FellowCodecTest.java
@@ -0,0 +1,100 @@
+package org.arbutusspar.io.link;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.arbutusspar.core.fellow.Beat;
+import org.arbutusspar.core.fellow.Fellow;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.core.stage.Piece;
+import org.arbutusspar.core.stage.PieceId;
+import org.arbutusspar.core.stage.PieceOutcome;
+import org.arbutusspar.core.stage.QueueWait;
+import org.arbutusspar.core.stage.StageResult;
+import org.junit.jupiter.api.Test;
+
+class FellowCodecTest {
+
+  private static final Fellow FELLOW =
+      new Fellow(
+          "e-1",
+          17,
+          DataCentre.of("a"),
+          new Endpoint("10.0.0.1", 7_000),
+          new Endpoint("10.0.0.1", 8_000));
+
+  private static Piece piece(long startBy, Optional<DataCentre> near) {
+    return new Piece(
+        new PieceId("id", 1, 2), "e-1", "k", List.of("h"), 2, startBy, startBy + 9, 7, near, 0);
+  }
+
+  private static void assertSame(FellowMessage message) throws IOException {
+    assertEquals(message, FellowCodec.decode(FellowCodec.encode(message, 100), 100));
+  }
+
+  @Test
+  void everyMessageIsReadAsItWasWritten() throws IOException {
+    assertSame(new FellowMessage.Hello(FELLOW, List.of(FELLOW)));
+    assertSame(
+        new FellowMessage.Alive(new Beat(true, false, 3, 9, Map.of("s", new QueueWait(4, 5)))));
+    assertSame(
+        new FellowMessage.Pieces(
+            "s", List.of(piece(5, Optional.empty()), piece(-5, Optional.of(DataCentre.of("b"))))));
+    assertSame(
+        new FellowMessage.Outcomes(
+            List.of(
+                PieceOutcome.made(new PieceId("id", 0, 1), new StageResult("h", "e-1", 4)),
+                PieceOutcome.none(new PieceId("id", 0, 2), PieceOutcome.LATE))));
+    assertSame(new FellowMessage.Cancel("id"));
+    assertSame(new FellowMessage.Release(List.of("a", "b")));
+    assertSame(new FellowMessage.TableRequest(FellowMessage.Table.REPLICAS));
+  }
+
+  @Test
+  void tablesKeepTheirBytes() throws IOException {
+    byte[] value = {0, -1, 5};
+    FellowMessage.TableData data =
+        new FellowMessage.TableData(
+            FellowMessage.Table.CONFIGURATION, 9, List.of(new FellowMessage.Row("k", value)));
+    FellowMessage read = FellowCodec.decode(FellowCodec.encode(data, 0), 0);
+    assertArrayEquals(value, ((FellowMessage.TableData) read).rows().get(0).value());
+  }
+
+  /** The clocks of two instances may differ by any amount. */
+  @Test
+  void timesOfPiecesMoveToTheReadersClock() throws IOException {
+    byte[] body =
+        FellowCodec.encode(
+            new FellowMessage.Pieces("s", List.of(piece(1_500, Optional.empty()))), 1_000);
+    FellowMessage.Pieces read = (FellowMessage.Pieces) FellowCodec.decode(body, -7_000);
+    assertEquals(-6_500, read.pieces().get(0).startBy());
+    assertEquals(-6_491, read.pieces().get(0).deadline());
+  }
+
+  @Test
+  void damagedFramesAreErrorsAndNothingElse() {
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11L);
+    byte[] whole =
+        FellowCodec.encode(new FellowMessage.Pieces("s", List.of(piece(5, Optional.empty()))), 0);
+    for (int i = 0; i < 20_000; i++) {
+      byte[] damaged = Arrays.copyOf(whole, 1 + random.nextInt(whole.length));
+      damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+      try {
+        FellowCodec.decode(damaged, 0);
+      } catch (IOException expected) {
+        continue;
+      }
+    }
+    assertThrows(IOException.class, () -> FellowCodec.decode(new byte[] {99}, 0));
+    assertThrows(IOException.class, () -> FellowCodec.decode(new byte[0], 0));
+  }
+}
