One placer for the requests of all instances to an engine

Cause: streams paused while a replica read several long prompts one after the other. Change: EnginePlacer, its messages, and EnginePlaces round it.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -87,6 +87,7 @@
   private final FellowTable fellows;
   private final FellowNet net;
   private final ReplicaBook replicas;
+  private final EnginePlaces engines;
   private final PieceWork pieces;
   private final ClientHandler clients;
   private final Feed configuration;
@@ -116,10 +117,11 @@
     fellows = FellowTable.create(self, FellowNet.SILENCE_MILLIS);
     net = FellowNet.create(fellows, loop, log, settings.seeds(), new FellowEvents());
     replicas = ReplicaBook.create(settings.dataCentre());
+    engines = new EnginePlaces(fellows, net, replicas, loop);
     pieces = new PieceWork(fellows, net, replicas, client, loop, log);
     RequestContext context =
         RequestContext.create(
-            loop, client, replicas, pieces, fellows, settings.bounds(), log, metrics);
+            loop, client, replicas, engines, pieces, fellows, settings.bounds(), log, metrics);
     clients = new ClientHandler(context);
     configuration =
         feed(StoreClient.CONFIGURATION_TOPIC, CONFIGURATION_PACE, this::onConfiguration);
@@ -248,6 +250,7 @@
                   record.value().flatMap(v -> ReplicaReader.read(id, v)).ifPresent(read::add));
       logChanges(read);
       replicas.replace(read);
+      engines.onReplicas();
       pieces.onReplicas();
     }
     updateBeat();
@@ -441,6 +444,7 @@
             feed.offset());
         feed.takeFrom(data.offset(), data.rows());
       } else {
+        engines.onMessage(name, message);
         pieces.onMessage(name, message);
       }
     }
@@ -452,6 +456,7 @@
 
     @Override
     public void onDown(String name) {
+      engines.onDown(name);
       pieces.onDown(name);
     }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -20,6 +20,7 @@
  * @param loop runs their decisions
  * @param client sends them to replicas
  * @param replicas the replicas and their load
+ * @param engines finds replicas of model engines
  * @param pieces has the pieces of their stages made
  * @param fellows the other instances
  * @param bounds time limits and budgets to keep
@@ -33,6 +34,7 @@
     DeadlineLoop loop,
     RawClient client,
     ReplicaBook replicas,
+    EnginePlaces engines,
     PieceWork pieces,
     FellowTable fellows,
     PlatformSettings.Bounds bounds,
@@ -55,6 +57,7 @@
       DeadlineLoop loop,
       RawClient client,
       ReplicaBook replicas,
+      EnginePlaces engines,
       PieceWork pieces,
       FellowTable fellows,
       PlatformSettings.Bounds bounds,
@@ -64,6 +67,7 @@
         loop,
         client,
         replicas,
+        engines,
         pieces,
         fellows,
         bounds,
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PlacementRequest;
 import org.arbutusspar.core.placement.RepeatRules;
 import org.arbutusspar.core.placement.SendVerdict;
@@ -30,6 +31,7 @@
 import org.arbutusspar.core.stage.StagePlan;
 import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.io.http.HeaderField;
+import org.arbutusspar.io.link.FellowMessage;
 import org.arbutusspar.platform.ClientRequest;
 import org.arbutusspar.platform.PieceCalls;
 
@@ -341,15 +343,33 @@
       giveUp("no-time");
       return;
     }
-    PlacementRequest wanted =
-        new PlacementRequest(service, request.promptKey(), tried, Rendezvous.hash(request.id()));
-    Optional<UpstreamReplica> replica =
-        context.replicas().choose(wanted, context.placement(isModelEngine()), context.loop().now());
-    if (replica.isEmpty()) {
+    if (isModelEngine()) {
+      context.engines().find(service, engineRequest(), this::sendOrGiveUp);
+    } else {
+      sendOrGiveUp(chooseReplica());
+    }
+  }
+
+  private EnginePlacer.EngineRequest engineRequest() {
+    return new EnginePlacer.EngineRequest(
+        request.id(),
+        context.fellows().self().name(),
+        request.promptKey(),
+        request.sharedTokens(),
+        request.ownTokens(),
+        placeOf(held),
+        held.stream().mapToLong(StageResult::bytes).sum(),
+        tried);
+  }
+
+  private void sendOrGiveUp(Optional<UpstreamReplica> replica) {
+    if (ended) {
+      context.engines().tell(service, request.id(), FellowMessage.RunState.ENDED);
+    } else if (replica.isEmpty()) {
       giveUp("no-replica");
-      return;
+    } else {
+      send(replica.get());
     }
-    send(replica.get());
   }
 
   private Optional<UpstreamReplica> chooseReplica() {
@@ -417,6 +437,7 @@
     context
         .log()
         .write("answer-begun", "id", request.id(), "status", status, "ms", elapsedMillis());
+    context.engines().tell(service, request.id(), FellowMessage.RunState.BEGUN);
     releaseHeld();
   }
 
@@ -427,6 +448,7 @@
 
   @Override
   public void onBroken(String reason) {
+    context.engines().tell(service, request.id(), FellowMessage.RunState.BROKEN);
     exchange.cut(reason);
     end("broken", reason);
   }
@@ -437,6 +459,13 @@
     if (ended) {
       return;
     }
+    boolean broken = verdict == SendVerdict.UNKNOWN || verdict == SendVerdict.NOT_SENT;
+    context
+        .engines()
+        .tell(
+            service,
+            request.id(),
+            broken ? FellowMessage.RunState.BROKEN : FellowMessage.RunState.ENDED);
     mayHaveRun |= verdict == SendVerdict.FAILED || verdict == SendVerdict.UNKNOWN;
     boolean again =
         RepeatRules.mayRepeat(route, verdict, sent)
@@ -519,6 +548,7 @@
     }
     ended = true;
     timer.cancel();
+    context.engines().tell(service, request.id(), FellowMessage.RunState.ENDED);
     if (attempt != null) {
       attempt.cancel(reason);
     }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
@@ -9,6 +9,7 @@
 import org.arbutusspar.core.fellow.Beat;
 import org.arbutusspar.core.fellow.Fellow;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.route.Endpoint;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
@@ -36,6 +37,9 @@
   private static final int RELEASE = 6;
   private static final int TABLE_REQUEST = 7;
   private static final int TABLE_DATA = 8;
+  private static final int PLACE = 9;
+  private static final int PLACE_ANSWER = 10;
+  private static final int PLACED_STATE = 11;
   private static final int MAX_LIST = 100_000;
 
   private FellowCodec() {}
@@ -75,6 +79,14 @@
       } else if (message instanceof FellowMessage.Release release) {
         packer.packInt(RELEASE);
         packTexts(packer, release.handles());
+      } else if (message instanceof FellowMessage.Place place) {
+        packer.packInt(PLACE).packString(place.service());
+        packEngineRequest(packer, place.request());
+      } else if (message instanceof FellowMessage.PlaceAnswer answer) {
+        packer.packInt(PLACE_ANSWER).packString(answer.requestId()).packString(answer.replicaId());
+      } else if (message instanceof FellowMessage.PlacedState placed) {
+        packer.packInt(PLACED_STATE).packString(placed.service());
+        packer.packString(placed.requestId()).packInt(placed.state().ordinal());
       } else if (message instanceof FellowMessage.TableRequest request) {
         packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
       } else if (message instanceof FellowMessage.TableData data) {
@@ -111,10 +123,21 @@
         case OUTCOMES -> new FellowMessage.Outcomes(list(unpacker, FellowCodec::outcome));
         case CANCEL -> new FellowMessage.Cancel(unpacker.unpackString());
         case RELEASE -> new FellowMessage.Release(list(unpacker, MessageUnpacker::unpackString));
-        case TABLE_REQUEST -> new FellowMessage.TableRequest(table(unpacker));
+        case PLACE -> new FellowMessage.Place(unpacker.unpackString(), engineRequest(unpacker));
+        case PLACE_ANSWER ->
+            new FellowMessage.PlaceAnswer(unpacker.unpackString(), unpacker.unpackString());
+        case PLACED_STATE ->
+            new FellowMessage.PlacedState(
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                constant(FellowMessage.RunState.values(), unpacker));
+        case TABLE_REQUEST ->
+            new FellowMessage.TableRequest(constant(FellowMessage.Table.values(), unpacker));
         case TABLE_DATA ->
             new FellowMessage.TableData(
-                table(unpacker), unpacker.unpackLong(), list(unpacker, FellowCodec::row));
+                constant(FellowMessage.Table.values(), unpacker),
+                unpacker.unpackLong(),
+                list(unpacker, FellowCodec::row));
         default -> throw new IOException("unknown message type " + type);
       };
     } catch (MessagePackException | IllegalArgumentException | NullPointerException e) {
@@ -236,13 +259,34 @@
     }
   }
 
-  private static FellowMessage.Table table(MessageUnpacker unpacker) throws IOException {
+  private static <T> T constant(T[] values, MessageUnpacker unpacker) throws IOException {
     int ordinal = unpacker.unpackInt();
-    FellowMessage.Table[] tables = FellowMessage.Table.values();
-    if (ordinal < 0 || ordinal >= tables.length) {
-      throw new IOException("unknown table " + ordinal);
+    if (ordinal < 0 || ordinal >= values.length) {
+      throw new IOException("unknown constant " + ordinal);
     }
-    return tables[ordinal];
+    return values[ordinal];
+  }
+
+  private static void packEngineRequest(
+      MessageBufferPacker packer, EnginePlacer.EngineRequest request) throws IOException {
+    packer.packString(request.id()).packString(request.origin()).packLong(request.promptKey());
+    packer.packLong(request.sharedTokens()).packLong(request.ownTokens());
+    packer.packString(request.near().map(DataCentre::value).orElse(""));
+    packer.packLong(request.inputBytes());
+    packTexts(packer, List.copyOf(request.excluded()));
+  }
+
+  private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker)
+      throws IOException {
+    return new EnginePlacer.EngineRequest(
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        optionalDataCentre(unpacker.unpackString()),
+        unpacker.unpackLong(),
+        list(unpacker, MessageUnpacker::unpackString));
   }
 
   private static FellowMessage.Row row(MessageUnpacker unpacker) throws IOException {
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.arbutusspar.core.fellow.Beat;
 import org.arbutusspar.core.fellow.Fellow;
+import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceOutcome;
 
@@ -69,6 +70,41 @@
    */
   record TableData(Table table, long offset, List<Row> rows) implements FellowMessage {}
 
+  /**
+   * Asks for a replica of a model engine.
+   *
+   * @param service the engine's service
+   * @param request the request to be placed
+   */
+  record Place(String service, EnginePlacer.EngineRequest request) implements FellowMessage {}
+
+  /**
+   * Answers where a request goes.
+   *
+   * @param requestId identifier of the request
+   * @param replicaId identifier of the replica; empty if none has a place
+   */
+  record PlaceAnswer(String requestId, String replicaId) implements FellowMessage {}
+
+  /**
+   * Tells how a request that was placed goes on.
+   *
+   * @param service the engine's service
+   * @param requestId identifier of the request
+   * @param state how it goes on
+   */
+  record PlacedState(String service, String requestId, RunState state) implements FellowMessage {}
+
+  /** How a request that was placed goes on. */
+  enum RunState {
+    /** Its answer has begun. */
+    BEGUN,
+    /** It has ended, and its replica answered. */
+    ENDED,
+    /** It has ended without an answer. */
+    BROKEN
+  }
+
   /** A table that instances read from the store. */
   enum Table {
     /** The operators' configuration. */
