Slow stage replicas get calls only in a crowd

Cause: a replica that takes five times as long got a call whenever it was free. Change: a replica at over twice the best time is used only where many pieces wait; a test replays it.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -43,6 +43,9 @@
   /** A replica that had no room is called again after this. */
   private static final long NO_ROOM_PAUSE_MILLIS = 60;
 
+  /** A replica that takes this many times as long as the best is used only in a crowd. */
+  private static final double SLOW_BOUND = 2;
+
   private static final double RATIO_WEIGHT = 0.3;
   private static final double MAX_RATIO = 20;
   private static final double MIN_RATIO = 0.6;
@@ -169,7 +172,7 @@
   private Optional<PieceCall> nextCall(long now) {
     List<Worker> free =
         workers.values().stream()
-            .filter(worker -> worker.isFree(limits.slots(), now))
+            .filter(worker -> worker.isFree(limits.slots(), now) && !isTooSlow(worker))
             .sorted(Comparator.comparingDouble((Worker worker) -> worker.ratio))
             .toList();
     List<List<Piece>> groups = free.isEmpty() ? List.of() : groups(now);
@@ -182,6 +185,14 @@
     return Optional.empty();
   }
 
+  /** Returns whether pieces are done sooner if they wait for a faster replica. */
+  private boolean isTooSlow(Worker worker) {
+    List<Worker> listed = workers.values().stream().filter(w -> w.listed).toList();
+    double best = listed.stream().mapToDouble(w -> w.ratio).min().orElse(1);
+    long faster = listed.stream().filter(w -> w.ratio <= SLOW_BOUND * best).count();
+    return worker.ratio > SLOW_BOUND * best && queue.size() <= faster * limits.batch();
+  }
+
   /** Returns the waiting pieces in order, those of one stage of one request together. */
   private List<List<Piece>> groups(long now) {
     Map<String, List<Piece>> groups = new LinkedHashMap<>();
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
@@ -189,6 +189,31 @@
     assertEquals("c", urgent.pieces().get(0).id().requestId());
   }
 
+  /** Load pattern: one replica of four works five times as long as the others. */
+  @Test
+  void slowReplicaGetsCallsOnlyWhenManyPiecesWait() {
+    PieceGatherer gatherer = gatherer(4, ROOMY, 2);
+    long now = 0;
+    for (int i = 0; i < 20; i++) {
+      submit(gatherer, "a" + i, 4);
+      submit(gatherer, "b" + i, 4);
+      for (PieceCall call : gatherer.nextCalls(now)) {
+        boolean slow = call.replica().id().equals("r0");
+        long took = slow ? 5 * call.expectedNanos() : call.expectedNanos();
+        gatherer.complete(call.number(), allMade(call), "self", now + took);
+      }
+      gatherer.cancel("a" + i);
+      gatherer.cancel("b" + i);
+      now += millis(20_000);
+    }
+    submit(gatherer, "c", 4);
+    assertEquals("r1", gatherer.nextCalls(now).get(0).replica().id());
+    submit(gatherer, "d", 4);
+    assertTrue(gatherer.nextCalls(now).isEmpty(), "it waits for the fast one");
+    submit(gatherer, "e", 4);
+    assertEquals("r0", gatherer.nextCalls(now).get(0).replica().id());
+  }
+
   @Test
   void replicasThatLeaveGetNoCalls() {
     PieceGatherer gatherer = gatherer(8, ROOMY, 1);
