--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -44,7 +44,6 @@
   private static final int UNAVAILABLE = 503;
   private static final int NOT_FOUND = 404;
   private static final int LOG_LINES_PER_SECOND = 200;
-  private static final int METRICS_PORT = 9464;
 
   /** Longest time for making a connection to a replica. */
   private static final long CONNECT_MILLIS = 800;
@@ -88,6 +87,7 @@
   private final FellowTable fellows;
   private final FellowNet net;
   private final ReplicaBook replicas;
+  private final EnginePlaces engines;
   private final PieceWork pieces;
   private final ClientHandler clients;
   private final Feed configuration;
@@ -117,10 +117,11 @@
     fellows = FellowTable.create(self, FellowNet.SILENCE_MILLIS);
     net = FellowNet.create(fellows, loop, log, settings.seeds(), new FellowEvents());
     replicas = ReplicaBook.create(settings.dataCentre());
+    engines = new EnginePlaces(fellows, net, replicas, loop);
     pieces = new PieceWork(fellows, net, replicas, client, loop, log);
     RequestContext context =
         RequestContext.create(
-            loop, client, replicas, pieces, fellows, settings.bounds(), log, metrics);
+            loop, client, replicas, engines, pieces, fellows, settings.bounds(), log, metrics);
     clients = new ClientHandler(context);
     configuration =
         feed(StoreClient.CONFIGURATION_TOPIC, CONFIGURATION_PACE, this::onConfiguration);
@@ -160,10 +161,8 @@
     registerGauges();
     host.add(settings.clients(), clients);
     host.add(settings.readiness(), this::answerReadiness);
-    if (settings.directory() != null) {
-      host.add(settings.directory(), this::answerAddresses);
-    }
-    host.add(new Endpoint(settings.address(), METRICS_PORT), this::answerMetrics);
+    host.add(settings.directory(), this::answerAddresses);
+    settings.metrics().ifPresent(endpoint -> host.add(endpoint, this::answerMetrics));
     host.start();
     loop.post(
         () -> {
@@ -251,6 +250,7 @@
                   record.value().flatMap(v -> ReplicaReader.read(id, v)).ifPresent(read::add));
       logChanges(read);
       replicas.replace(read);
+      engines.onReplicas();
       pieces.onReplicas();
     }
     updateBeat();
@@ -444,6 +444,7 @@
             feed.offset());
         feed.takeFrom(data.offset(), data.rows());
       } else {
+        engines.onMessage(name, message);
         pieces.onMessage(name, message);
       }
     }
@@ -455,6 +456,7 @@
 
     @Override
     public void onDown(String name) {
+      engines.onDown(name);
       pieces.onDown(name);
     }
 
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
@@ -9,6 +9,7 @@
 import org.arbutusspar.core.fellow.Beat;
 import org.arbutusspar.core.fellow.Fellow;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.route.Endpoint;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
@@ -36,6 +37,9 @@
   private static final int RELEASE = 6;
   private static final int TABLE_REQUEST = 7;
   private static final int TABLE_DATA = 8;
+  private static final int PLACE = 9;
+  private static final int PLACE_ANSWER = 10;
+  private static final int PLACED_STATE = 11;
   private static final int MAX_LIST = 100_000;
 
   private FellowCodec() {}
@@ -51,30 +55,38 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       if (message instanceof FellowMessage.Hello hello) {
         packer.packInt(HELLO);
-        pack(packer, hello.self());
+        packFellow(packer, hello.self());
         packer.packArrayHeader(hello.known().size());
         for (Fellow fellow : hello.known()) {
-          pack(packer, fellow);
+          packFellow(packer, fellow);
         }
       } else if (message instanceof FellowMessage.Alive alive) {
         packer.packInt(ALIVE);
-        pack(packer, alive.beat());
+        packBeat(packer, alive.beat());
       } else if (message instanceof FellowMessage.Pieces pieces) {
         packer.packInt(PIECES).packString(pieces.service());
         packer.packArrayHeader(pieces.pieces().size());
         for (Piece piece : pieces.pieces()) {
-          pack(packer, piece, now);
+          packPiece(packer, piece, now);
         }
       } else if (message instanceof FellowMessage.Outcomes outcomes) {
         packer.packInt(OUTCOMES).packArrayHeader(outcomes.outcomes().size());
         for (PieceOutcome outcome : outcomes.outcomes()) {
-          pack(packer, outcome);
+          packOutcome(packer, outcome);
         }
       } else if (message instanceof FellowMessage.Cancel cancel) {
         packer.packInt(CANCEL).packString(cancel.requestId());
       } else if (message instanceof FellowMessage.Release release) {
         packer.packInt(RELEASE);
-        pack(packer, release.handles());
+        packTexts(packer, release.handles());
+      } else if (message instanceof FellowMessage.Place place) {
+        packer.packInt(PLACE).packString(place.service());
+        packEngineRequest(packer, place.request());
+      } else if (message instanceof FellowMessage.PlaceAnswer answer) {
+        packer.packInt(PLACE_ANSWER).packString(answer.requestId()).packString(answer.replicaId());
+      } else if (message instanceof FellowMessage.PlacedState placed) {
+        packer.packInt(PLACED_STATE).packString(placed.service());
+        packer.packString(placed.requestId()).packInt(placed.state().ordinal());
       } else if (message instanceof FellowMessage.TableRequest request) {
         packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
       } else if (message instanceof FellowMessage.TableData data) {
@@ -111,10 +123,21 @@
         case OUTCOMES -> new FellowMessage.Outcomes(list(unpacker, FellowCodec::outcome));
         case CANCEL -> new FellowMessage.Cancel(unpacker.unpackString());
         case RELEASE -> new FellowMessage.Release(list(unpacker, MessageUnpacker::unpackString));
-        case TABLE_REQUEST -> new FellowMessage.TableRequest(table(unpacker));
+        case PLACE -> new FellowMessage.Place(unpacker.unpackString(), engineRequest(unpacker));
+        case PLACE_ANSWER ->
+            new FellowMessage.PlaceAnswer(unpacker.unpackString(), unpacker.unpackString());
+        case PLACED_STATE ->
+            new FellowMessage.PlacedState(
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                constant(FellowMessage.RunState.values(), unpacker));
+        case TABLE_REQUEST ->
+            new FellowMessage.TableRequest(constant(FellowMessage.Table.values(), unpacker));
         case TABLE_DATA ->
             new FellowMessage.TableData(
-                table(unpacker), unpacker.unpackLong(), list(unpacker, FellowCodec::row));
+                constant(FellowMessage.Table.values(), unpacker),
+                unpacker.unpackLong(),
+                list(unpacker, FellowCodec::row));
         default -> throw new IOException("unknown message type " + type);
       };
     } catch (MessagePackException | IllegalArgumentException | NullPointerException e) {
@@ -122,7 +145,7 @@
     }
   }
 
-  private static void pack(MessageBufferPacker packer, Fellow fellow) throws IOException {
+  private static void packFellow(MessageBufferPacker packer, Fellow fellow) throws IOException {
     packer.packString(fellow.name()).packLong(fellow.incarnation());
     packer.packString(fellow.dataCentre().value());
     packer.packString(fellow.links().toString()).packString(fellow.clients().toString());
@@ -137,7 +160,7 @@
         Endpoint.parse(unpacker.unpackString()));
   }
 
-  private static void pack(MessageBufferPacker packer, Beat beat) throws IOException {
+  private static void packBeat(MessageBufferPacker packer, Beat beat) throws IOException {
     packer.packBoolean(beat.ready()).packBoolean(beat.leaving());
     packer.packLong(beat.configurationOffset()).packLong(beat.replicasOffset());
     packer.packMapHeader(beat.waits().size());
@@ -169,7 +192,7 @@
     return waits;
   }
 
-  private static void pack(MessageBufferPacker packer, PieceId id) throws IOException {
+  private static void packId(MessageBufferPacker packer, PieceId id) throws IOException {
     packer.packString(id.requestId()).packInt(id.stage()).packInt(id.index());
   }
 
@@ -177,10 +200,11 @@
     return new PieceId(unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackInt());
   }
 
-  private static void pack(MessageBufferPacker packer, Piece piece, long now) throws IOException {
-    pack(packer, piece.id());
+  private static void packPiece(MessageBufferPacker packer, Piece piece, long now)
+      throws IOException {
+    packId(packer, piece.id());
     packer.packString(piece.origin()).packString(piece.key());
-    pack(packer, piece.inputs());
+    packTexts(packer, piece.inputs());
     packer.packInt(piece.priority()).packLong(piece.startBy() - now);
     packer.packLong(piece.deadline() - now).packLong(piece.resultBytes());
     packer.packString(piece.near().map(DataCentre::value).orElse(""));
@@ -204,8 +228,9 @@
     return name.isEmpty() ? Optional.empty() : Optional.of(DataCentre.of(name));
   }
 
-  private static void pack(MessageBufferPacker packer, PieceOutcome outcome) throws IOException {
-    pack(packer, outcome.id());
+  private static void packOutcome(MessageBufferPacker packer, PieceOutcome outcome)
+      throws IOException {
+    packId(packer, outcome.id());
     packer.packString(outcome.reason()).packBoolean(outcome.result().isPresent());
     if (outcome.result().isPresent()) {
       StageResult result = outcome.result().get();
@@ -227,20 +252,41 @@
         reason);
   }
 
-  private static void pack(MessageBufferPacker packer, List<String> texts) throws IOException {
+  private static void packTexts(MessageBufferPacker packer, List<String> texts) throws IOException {
     packer.packArrayHeader(texts.size());
     for (String text : texts) {
       packer.packString(text);
     }
   }
 
-  private static FellowMessage.Table table(MessageUnpacker unpacker) throws IOException {
+  private static <T> T constant(T[] values, MessageUnpacker unpacker) throws IOException {
     int ordinal = unpacker.unpackInt();
-    FellowMessage.Table[] tables = FellowMessage.Table.values();
-    if (ordinal < 0 || ordinal >= tables.length) {
-      throw new IOException("unknown table " + ordinal);
+    if (ordinal < 0 || ordinal >= values.length) {
+      throw new IOException("unknown constant " + ordinal);
     }
-    return tables[ordinal];
+    return values[ordinal];
+  }
+
+  private static void packEngineRequest(
+      MessageBufferPacker packer, EnginePlacer.EngineRequest request) throws IOException {
+    packer.packString(request.id()).packString(request.origin()).packLong(request.promptKey());
+    packer.packLong(request.sharedTokens()).packLong(request.ownTokens());
+    packer.packString(request.near().map(DataCentre::value).orElse(""));
+    packer.packLong(request.inputBytes());
+    packTexts(packer, List.copyOf(request.excluded()));
+  }
+
+  private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker)
+      throws IOException {
+    return new EnginePlacer.EngineRequest(
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        optionalDataCentre(unpacker.unpackString()),
+        unpacker.unpackLong(),
+        list(unpacker, MessageUnpacker::unpackString));
   }
 
   private static FellowMessage.Row row(MessageUnpacker unpacker) throws IOException {
