--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
@@ -17,6 +17,9 @@
    */
   private static final double[] WAIT_SHARES = {1.2, 0.95, 0.65};
 
+  /** Waits of requests that are late already are exceeded by about this, as others go before. */
+  private static final double LATE_WAIT_FACTOR = 1.5;
+
   private StageAdmission() {}
 
   /**
@@ -38,7 +41,8 @@
       int priority,
       boolean cameBack) {
     Validate.isTrue(priority >= 0, "priority must not be negative");
-    if (workMillis + waitMillis > leftMillis) {
+    double doubt = cameBack ? LATE_WAIT_FACTOR : 1;
+    if (workMillis + doubt * waitMillis > leftMillis) {
       return Verdict.NO_TIME;
     }
     double spare = Math.max(0, targetMillis - workMillis);
