The queue of log lines is started once

Cause: it was started by hand and by Log4j; the second dispatcher was stopped while the first took its stop mark, and the process waited for ever. Change: only Log4j starts it, and the end waits for at most 0.3 s.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EventLogging.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EventLogging.java
@@ -23,6 +23,9 @@
 final class EventLogging extends AbstractConfiguration {
 
   private static final int QUEUED_LINES = 4_096;
+  /** Longest wait for queued lines at the end. */
+  private static final long SHUTDOWN_MILLIS = 300;
+
   private static final int MAX_FRAMES = 12;
   private static final String CONSOLE = "stdout";
   private static final String QUEUE = "async";
@@ -48,17 +51,16 @@
             .setDirect(true)
             .setLayout(new LineLayout())
             .build();
-    console.start();
     addAppender(console);
     Appender queue =
         AsyncAppender.newBuilder()
             .setName(QUEUE)
             .setBlocking(false)
             .setBufferSize(QUEUED_LINES)
+            .setShutdownTimeout(SHUTDOWN_MILLIS)
             .setAppenderRefs(new AppenderRef[] {AppenderRef.createAppenderRef(CONSOLE, null, null)})
             .setConfiguration(this)
             .build();
-    queue.start();
     addAppender(queue);
     LoggerConfig root = getRootLogger();
     root.setLevel(Level.INFO);
