Returned requests wait for less than results are kept

Change: a returned request is refused at once if it would wait for more than 3 s; among late pieces those that read results go first.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
@@ -20,6 +20,9 @@
   /** Waits of requests that are late already are exceeded by about this, as others go before. */
   private static final double LATE_WAIT_FACTOR = 1.5;
 
+  /** Requests that came back wait for less than results are kept, or their stages run in vain. */
+  private static final double LATE_WAIT_MILLIS = 3_000;
+
   private StageAdmission() {}
 
   /**
@@ -45,9 +48,12 @@
     if (workMillis + doubt * waitMillis > leftMillis) {
       return Verdict.NO_TIME;
     }
+    if (cameBack) {
+      return doubt * waitMillis > LATE_WAIT_MILLIS ? Verdict.OVERLOAD : Verdict.TAKE;
+    }
     double spare = Math.max(0, targetMillis - workMillis);
     double share = WAIT_SHARES[Math.min(WAIT_SHARES.length - 1, priority)];
-    return !cameBack && waitMillis > share * spare ? Verdict.OVERLOAD : Verdict.TAKE;
+    return waitMillis > share * spare ? Verdict.OVERLOAD : Verdict.TAKE;
   }
 
   /** A decision. */
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/UrgencyOrder.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/UrgencyOrder.java
@@ -5,8 +5,8 @@
 
 /**
  * Pieces of requests that can still be in time go first, the one that must start soonest before the
- * others, where each rank of priority counts like some time; the rest follow by priority and
- * deadline.
+ * others, where each rank of priority counts like some time; the rest follow: first those that read
+ * results, since these expire, then by priority and deadline.
  *
  * <p>Load pattern: a burst that fills the queue for longer than a request may take. Work for
  * requests that are late already would make those late that are not.
@@ -26,6 +26,7 @@
   @Override
   public Comparator<Piece> at(long now) {
     return Comparator.comparing((Piece piece) -> !isInTime(piece, now))
+        .thenComparing(piece -> !isInTime(piece, now) && piece.inputs().isEmpty())
         .thenComparingLong(piece -> isInTime(piece, now) ? weighted(piece, now) : piece.priority())
         .thenComparingLong(piece -> piece.deadline() - now);
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EventLogging.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EventLogging.java
@@ -23,6 +23,7 @@
 final class EventLogging extends AbstractConfiguration {
 
   private static final int QUEUED_LINES = 4_096;
+
   /** Longest wait for queued lines at the end. */
   private static final long SHUTDOWN_MILLIS = 300;
 
