--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -9,6 +9,7 @@
 import org.arbutusspar.core.routing.KeyOwner;
 import org.arbutusspar.core.routing.Route;
 import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.io.http.BodyCollector;
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.http.StreamHost;
 import org.arbutusspar.platform.ClientRequest;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -1,7 +1,6 @@
 package org.arbutusspar.entry.gateway;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -13,26 +12,19 @@
 import org.arbutusspar.core.fellow.Beat;
 import org.arbutusspar.core.fellow.Fellow;
 import org.arbutusspar.core.fellow.FellowTable;
-import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.placement.ReplicaBook;
 import org.arbutusspar.core.placement.UpstreamReplica;
-import org.arbutusspar.core.route.Endpoint;
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.io.EventLog;
-import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.http.RawClient;
 import org.arbutusspar.io.http.StreamHost;
 import org.arbutusspar.io.link.FellowCodec;
 import org.arbutusspar.io.link.FellowMessage;
-import org.arbutusspar.platform.AddressQuestion;
 import org.arbutusspar.platform.ConfigurationReader;
 import org.arbutusspar.platform.KeyedRecord;
 import org.arbutusspar.platform.PlatformSettings;
 import org.arbutusspar.platform.ReplicaReader;
 import org.arbutusspar.platform.StoreClient;
-import org.eclipse.jetty.server.Request;
-import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** An entry instance on the platform, from its start to its shutdown. */
@@ -40,9 +32,6 @@
 
   private static final int MAX_THREADS = 24;
   private static final int MIN_THREADS = 8;
-  private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
-  private static final int NOT_FOUND = 404;
   private static final int LOG_LINES_PER_SECOND = 200;
 
   /** Longest time for making a connection to a replica. */
@@ -60,9 +49,6 @@
   /** Instances come and go seldom. */
   private static final Feed.Pace INSTANCES_PACE = new Feed.Pace(5_000, 100);
 
-  /** How long clients keep an address answer. */
-  private static final long ADDRESS_LIFE_MILLIS = 2_000;
-
   private static final long ANNOUNCE_PAUSE_MILLIS = 500;
 
   /** Shutdown takes at least this long, so that clients learn of other addresses. */
@@ -160,9 +146,11 @@
         settings.store());
     registerGauges();
     host.add(settings.clients(), clients);
-    host.add(settings.readiness(), this::answerReadiness);
-    host.add(settings.directory(), this::answerAddresses);
-    settings.metrics().ifPresent(endpoint -> host.add(endpoint, this::answerMetrics));
+    PublicAnswers answers =
+        PublicAnswers.create(loop, fellows, metrics, settings.bounds(), () -> ready && !leaving);
+    host.add(settings.readiness(), answers::readiness);
+    host.add(settings.directory(), answers::addresses);
+    settings.metrics().ifPresent(endpoint -> host.add(endpoint, answers::metrics));
     host.start();
     loop.post(
         () -> {
@@ -324,53 +312,6 @@
     }
   }
 
-  private void answerReadiness(Request request, Response response, Callback callback) {
-    boolean known = request.getHttpURI().getPath().equals(AddressQuestion.READINESS_PATH);
-    int status = !known ? NOT_FOUND : ready && !leaving ? OK : UNAVAILABLE;
-    ClientExchange.create(request, response, callback)
-        .reply(status, List.of(), ByteBuffer.allocate(0));
-  }
-
-  private void answerAddresses(Request request, Response response, Callback callback) {
-    ClientExchange exchange = ClientExchange.create(request, response, callback);
-    if (!request.getHttpURI().getPath().equals(AddressQuestion.PATH)) {
-      exchange.reply(NOT_FOUND, List.of(), ByteBuffer.allocate(0));
-      return;
-    }
-    String query = request.getHttpURI().getQuery();
-    loop.post(
-        () -> {
-          DataCentre near = AddressQuestion.dataCentre(query).orElse(fellows.self().dataCentre());
-          List<Endpoint> endpoints =
-              fellows.forClients(near, loop.now()).stream()
-                  .limit(AddressQuestion.MAX_ADDRESSES)
-                  .map(Fellow::clients)
-                  .toList();
-          if (endpoints.isEmpty()) {
-            exchange.reply(UNAVAILABLE, List.of(), ByteBuffer.allocate(0));
-            return;
-          }
-          byte[] body = AddressQuestion.answer(endpoints, addressLifeMillis());
-          exchange.reply(
-              OK,
-              List.of(new HeaderField("Content-Type", "application/json")),
-              ByteBuffer.wrap(body));
-        });
-  }
-
-  /** Short, so that clients learn soon of instances that came or left. */
-  private long addressLifeMillis() {
-    return Math.min(ADDRESS_LIFE_MILLIS, settings.bounds().addressLifeMillis());
-  }
-
-  private void answerMetrics(Request request, Response response, Callback callback) {
-    ClientExchange.create(request, response, callback)
-        .reply(
-            OK,
-            List.of(new HeaderField("Content-Type", "text/plain; version=0.0.4")),
-            ByteBuffer.wrap(metrics.text()));
-  }
-
   /**
    * Leaves: takes no part in new work, serves what clients still send, and stops once all requests
    * have ended or the time for a shutdown is over.
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PublicAnswers.java
@@ -0,0 +1,104 @@
+package org.arbutusspar.entry.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.arbutusspar.core.fellow.Fellow;
+import org.arbutusspar.core.fellow.FellowTable;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.http.HeaderField;
+import org.arbutusspar.platform.AddressQuestion;
+import org.arbutusspar.platform.PlatformSettings;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Answers what the platform and clients ask of an instance besides requests. */
+final class PublicAnswers {
+
+  /** How long clients keep an address answer. */
+  private static final long ADDRESS_LIFE_MILLIS = 2_000;
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final DeadlineLoop loop;
+  private final FellowTable fellows;
+  private final GatewayMetrics figures;
+  private final PlatformSettings.Bounds bounds;
+  private final BooleanSupplier ready;
+
+  private PublicAnswers(
+      DeadlineLoop loop,
+      FellowTable fellows,
+      GatewayMetrics figures,
+      PlatformSettings.Bounds bounds,
+      BooleanSupplier ready) {
+    this.loop = loop;
+    this.fellows = fellows;
+    this.figures = figures;
+    this.bounds = bounds;
+    this.ready = ready;
+  }
+
+  static PublicAnswers create(
+      DeadlineLoop loop,
+      FellowTable fellows,
+      GatewayMetrics figures,
+      PlatformSettings.Bounds bounds,
+      BooleanSupplier ready) {
+    return new PublicAnswers(loop, fellows, figures, bounds, ready);
+  }
+
+  /** Answers whether this instance takes requests. */
+  void readiness(Request request, Response response, Callback callback) {
+    boolean known = request.getHttpURI().getPath().equals(AddressQuestion.READINESS_PATH);
+    int status = !known ? NOT_FOUND : ready.getAsBoolean() ? OK : UNAVAILABLE;
+    ClientExchange.create(request, response, callback)
+        .reply(status, List.of(), ByteBuffer.allocate(0));
+  }
+
+  /** Answers which instances clients may connect to. */
+  void addresses(Request request, Response response, Callback callback) {
+    ClientExchange exchange = ClientExchange.create(request, response, callback);
+    if (!request.getHttpURI().getPath().equals(AddressQuestion.PATH)) {
+      exchange.reply(NOT_FOUND, List.of(), ByteBuffer.allocate(0));
+      return;
+    }
+    String query = request.getHttpURI().getQuery();
+    loop.post(
+        () -> {
+          DataCentre near = AddressQuestion.dataCentre(query).orElse(fellows.self().dataCentre());
+          List<Endpoint> endpoints =
+              fellows.forClients(near, loop.now()).stream()
+                  .limit(AddressQuestion.MAX_ADDRESSES)
+                  .map(Fellow::clients)
+                  .toList();
+          if (endpoints.isEmpty()) {
+            exchange.reply(UNAVAILABLE, List.of(), ByteBuffer.allocate(0));
+            return;
+          }
+          byte[] body = AddressQuestion.answer(endpoints, addressLifeMillis());
+          exchange.reply(
+              OK,
+              List.of(new HeaderField("Content-Type", "application/json")),
+              ByteBuffer.wrap(body));
+        });
+  }
+
+  /** Short, so that clients learn soon of instances that came or left. */
+  private long addressLifeMillis() {
+    return Math.min(ADDRESS_LIFE_MILLIS, bounds.addressLifeMillis());
+  }
+
+  /** Shows the metrics. */
+  void metrics(Request request, Response response, Callback callback) {
+    ClientExchange.create(request, response, callback)
+        .reply(
+            OK,
+            List.of(new HeaderField("Content-Type", "text/plain; version=0.0.4")),
+            ByteBuffer.wrap(figures.text()));
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -1,8 +1,11 @@
 package org.arbutusspar.entry.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.arbutusspar.core.fellow.FellowTable;
+import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.placement.LeastLoadPlacement;
 import org.arbutusspar.core.placement.Placement;
 import org.arbutusspar.core.placement.PromptAffinityPlacement;
@@ -10,8 +13,10 @@
 import org.arbutusspar.core.placement.WindowedRetryBudget;
 import org.arbutusspar.core.stage.ForecastCorrection;
 import org.arbutusspar.core.stage.PatienceWatch;
+import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.http.RawClient;
+import org.arbutusspar.platform.PieceCalls;
 import org.arbutusspar.platform.PlatformSettings;
 
 /**
@@ -82,6 +87,17 @@
     return modelEngine ? AFFINITY : LEAST_LOAD;
   }
 
+  /** Returns the data centre in which most of some results lie. */
+  Optional<DataCentre> placeOf(List<StageResult> results) {
+    Map<DataCentre, Long> bytes = new HashMap<>();
+    for (StageResult result : results) {
+      replicas
+          .dataCentre(PieceCalls.maker(result.handle()))
+          .ifPresent(place -> bytes.merge(place, result.bytes(), Long::sum));
+    }
+    return bytes.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+  }
+
   ForecastCorrection correction(String route) {
     return corrections.computeIfAbsent(route, name -> ForecastCorrection.create());
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -2,16 +2,13 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
-import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PlacementRequest;
 import org.arbutusspar.core.placement.RepeatRules;
@@ -20,23 +17,16 @@
 import org.arbutusspar.core.route.Rendezvous;
 import org.arbutusspar.core.routing.KeyOwner;
 import org.arbutusspar.core.routing.Route;
-import org.arbutusspar.core.routing.RouteStage;
 import org.arbutusspar.core.routing.ServedService;
 import org.arbutusspar.core.routing.ServingState;
-import org.arbutusspar.core.stage.ForecastCorrection;
-import org.arbutusspar.core.stage.Piece;
-import org.arbutusspar.core.stage.PieceId;
-import org.arbutusspar.core.stage.PieceOutcome;
 import org.arbutusspar.core.stage.StageAdmission;
-import org.arbutusspar.core.stage.StagePlan;
 import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.link.FellowMessage;
 import org.arbutusspar.platform.ClientRequest;
-import org.arbutusspar.platform.PieceCalls;
 
 /** One client's request from its arrival to its final answer. Runs on the loop. */
-final class ServedRequest implements PieceWork.Requester, UpstreamAttempt.Owner {
+final class ServedRequest implements StageRun.Owner, UpstreamAttempt.Owner {
 
   private static final int UNAVAILABLE = 503;
   private static final int BAD_GATEWAY = 502;
@@ -51,23 +41,11 @@
   /** Time that a request needs at its replica at least; with less left it is not sent. */
   private static final long LEAST_MILLIS = 20;
 
-  /** Time that a model engine needs before its first event, apart from the prompt. */
-  private static final long ENGINE_START_MILLIS = 150;
-
   private static final int MAX_ENGINE_PRIORITY = 9;
 
   /** Clients come back within a third of the time that they have left; a little less is asked. */
   private static final double BACKOFF_SHARE = 0.31;
 
-  /** Share of the time to spare by which a stage is put off. */
-  private static final double DEFERRED_SHARE = 0.6;
-
-  /** Stages are not put off for less than this. */
-  private static final double LEAST_DEFERRAL_MILLIS = 100;
-
-  /** Less than this may cross data centres without a thought. */
-  private static final long LARGE_BYTES = 200_000;
-
   /** Times to come back are spread between this share and all of the longest one. */
   private static final double BACKOFF_SPREAD = 0.5;
 
@@ -84,11 +62,8 @@
   private final long deadline;
   private final String service;
   private final Set<String> tried = new HashSet<>();
-  private Optional<StagePlan> plan = Optional.empty();
-  private Optional<DataCentre> reader = Optional.empty();
-  private boolean cameBack;
-  private double plainForecast;
-  private List<StageResult> held = new ArrayList<>();
+  private Optional<StageRun> stages = Optional.empty();
+  private List<StageResult> held = List.of();
   private int sent;
   private boolean mayHaveRun;
   private boolean ended;
@@ -150,192 +125,25 @@
   }
 
   private void startStages() {
-    plan = Optional.of(StagePlan.create(route.stages(), request.pieceCounts()));
-    cameBack =
-        context.cameBack(route.name(), request.patienceMillis().orElse(DEFAULT_PATIENCE_MILLIS));
-    plainForecast = forecastMillis(true);
-    double work = forecastMillis(false);
-    ForecastCorrection correction = context.correction(route.name());
-    double wait = correction.apply(plainForecast) - work;
-    StageAdmission.Verdict verdict =
-        StageAdmission.decide(
-            work + ENGINE_START_MILLIS,
-            wait,
-            route.targetMillis(),
-            leftMillis(),
-            route.priority(),
-            cameBack);
-    context
-        .log()
-        .write(
-            "admission",
-            "id",
-            request.id(),
-            "verdict",
-            verdict,
-            "work_ms",
-            Math.round(work),
-            "wait_ms",
-            Math.round(wait),
-            "target_ms",
-            route.targetMillis(),
-            "left_ms",
-            leftMillis(),
-            "came_back",
-            cameBack);
+    StageRun run = StageRun.create(context, state, request, route, arrivedAt, deadline, this);
+    stages = Optional.of(run);
+    StageAdmission.Verdict verdict = run.admit();
     if (verdict == StageAdmission.Verdict.TAKE) {
-      planReader();
-      submitNext();
+      run.start(chooseReplica().map(UpstreamReplica::dataCentre));
     } else {
       giveUp(verdict.name().toLowerCase(Locale.ROOT));
     }
   }
 
-  /** Returns the expected time of the longest chain of stages. */
-  private double forecastMillis(boolean withWaiting) {
-    StagePlan stages = plan.orElseThrow();
-    double longest = 0;
-    for (int stage = 0; stage < route.stages().size(); stage++) {
-      longest = Math.max(longest, chainMillis(stages, stage, withWaiting));
-    }
-    return Math.max(1, longest);
-  }
-
-  /** Returns the expected time of a stage and of those that wait for it. */
-  private double chainMillis(StagePlan stages, int stage, boolean withWaiting) {
-    double millis = 0;
-    for (int each : stages.pathFrom(stage)) {
-      millis += stages.pieces(each) == 0 ? 0 : stageMillis(each, withWaiting);
-    }
-    return millis;
-  }
-
-  private double stageMillis(int stage, boolean withWaiting) {
-    String name = route.stages().get(stage).service();
-    double work = state.pieceLimits(name).map(l -> l.millis(l.batch() / 2)).orElse(0.0);
-    long now = context.loop().now();
-    return work + (withWaiting ? context.fellows().queueWait(name, now).millis(cameBack) : 0);
-  }
-
-  /** Chooses the replica early, so that large results are made in its data centre. */
-  private void planReader() {
-    reader = chooseReplica().map(UpstreamReplica::dataCentre);
-  }
-
-  /** Returns the data centre in which most of some results lie. */
-  private Optional<DataCentre> placeOf(List<StageResult> results) {
-    Map<DataCentre, Long> bytes = new HashMap<>();
-    for (StageResult result : results) {
-      context
-          .replicas()
-          .dataCentre(PieceCalls.maker(result.handle()))
-          .ifPresent(place -> bytes.merge(place, result.bytes(), Long::sum));
-    }
-    return bytes.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
-  }
-
-  private void submitNext() {
-    StagePlan stages = plan.orElseThrow();
-    for (int stage : stages.startNext()) {
-      submitInTime(stages, stage);
-    }
-    if (stages.isDone()) {
-      held = new ArrayList<>(stages.requestInputs());
-      if (!cameBack) {
-        context.correction(route.name()).learn(plainForecast, elapsedMillis());
-      }
-      context.metrics().onStages(elapsedMillis() / MILLIS_PER_SECOND);
-      dispatch();
-    }
-  }
-
-  /**
-   * Submits a stage, or lets it wait if other stages take longer: its results would only take room
-   * until those are done.
-   */
-  private void submitInTime(StagePlan stages, int stage) {
-    double spare =
-        (plainForecast - chainMillis(stages, stage, true)) * DEFERRED_SHARE - elapsedMillis();
-    if (stages.isLast(stage) && spare > LEAST_DEFERRAL_MILLIS) {
-      context.loop().after(Math.round(spare), () -> submitUnlessEnded(stages, stage));
-    } else {
-      submit(stages, stage);
-    }
-  }
-
-  private void submitUnlessEnded(StagePlan stages, int stage) {
-    if (!ended) {
-      submit(stages, stage);
-    }
-  }
-
-  private void submit(StagePlan stages, int stage) {
-    RouteStage spec = route.stages().get(stage);
-    List<StageResult> results = stages.inputsOf(stage);
-    List<String> inputs = results.stream().map(StageResult::handle).toList();
-    Optional<DataCentre> near = near(stages, stage, results);
-    long rest = pathMillis(stages, stage) + ENGINE_START_MILLIS;
-    long startBy = arrivedAt + Nanos.ofMillis(cameBack ? 0 : route.targetMillis() - rest);
-    List<Piece> pieces = new ArrayList<>();
-    for (int i = 0; i < stages.pieces(stage); i++) {
-      pieces.add(
-          new Piece(
-              new PieceId(request.id(), stage, i),
-              context.fellows().self().name(),
-              inputs.isEmpty() ? request.pieceKey() : "",
-              inputs,
-              route.priority(),
-              startBy,
-              deadline - Nanos.ofMillis(ENGINE_START_MILLIS),
-              spec.resultBytes(),
-              near,
-              0));
-    }
-    context.pieces().submit(spec.service(), pieces, this);
-  }
-
-  private Optional<DataCentre> near(StagePlan stages, int stage, List<StageResult> inputs) {
-    if (inputs.isEmpty()) {
-      boolean large = route.stages().get(stage).resultBytes() >= LARGE_BYTES;
-      return stages.isLast(stage) && large ? reader : Optional.empty();
-    }
-    long read = inputs.stream().mapToLong(StageResult::bytes).sum() * stages.pieces(stage);
-    return read >= LARGE_BYTES ? placeOf(inputs) : Optional.empty();
-  }
-
-  /** Returns the time that a stage and those that wait for it take, each in a call of its own. */
-  private long pathMillis(StagePlan stages, int stage) {
-    double millis = 0;
-    for (int each : stages.pathFrom(stage)) {
-      String name = route.stages().get(each).service();
-      millis += state.pieceLimits(name).map(l -> l.millis(l.batch())).orElse(0.0);
-    }
-    return Math.round(millis);
+  @Override
+  public void onStagesDone(List<StageResult> results) {
+    held = results;
+    dispatch();
   }
 
   @Override
-  public void onPiece(PieceOutcome outcome) {
-    if (ended) {
-      outcome.result().ifPresent(result -> context.pieces().release(List.of(result)));
-      return;
-    }
-    if (outcome.result().isEmpty()) {
-      giveUp("stage-" + outcome.reason());
-      return;
-    }
-    StagePlan stages = plan.orElseThrow();
-    int stage = outcome.id().stage();
-    if (!stages.complete(stage, outcome.id().index(), outcome.result().get())) {
-      context.pieces().release(List.of(outcome.result().get()));
-      return;
-    }
-    if (stages.isDone(stage)) {
-      context
-          .log()
-          .write("stage-done", "id", request.id(), "stage", stage, "elapsed_ms", elapsedMillis());
-      context.pieces().release(stages.takeRead());
-      submitNext();
-    }
+  public void onStageFailed(String reason) {
+    giveUp("stage-" + reason);
   }
 
   private void dispatch() {
@@ -357,7 +165,7 @@
         request.promptKey(),
         request.sharedTokens(),
         request.ownTokens(),
-        placeOf(held),
+        context.placeOf(held),
         held.stream().mapToLong(StageResult::bytes).sum(),
         tried);
   }
@@ -438,7 +246,7 @@
         .log()
         .write("answer-begun", "id", request.id(), "status", status, "ms", elapsedMillis());
     context.engines().tell(service, request.id(), FellowMessage.RunState.BEGUN);
-    releaseHeld();
+    stages.ifPresent(StageRun::releaseResults);
   }
 
   @Override
@@ -552,10 +360,7 @@
     if (attempt != null) {
       attempt.cancel(reason);
     }
-    if (plan.isPresent()) {
-      context.pieces().cancel(request.id());
-      releaseHeld();
-    }
+    stages.ifPresent(StageRun::end);
     context.metrics().onOutcome(outcome, reason);
     context
         .log()
@@ -574,12 +379,6 @@
     onEnd.run();
   }
 
-  private void releaseHeld() {
-    if (plan.isPresent()) {
-      context.pieces().release(plan.get().takeAll());
-    }
-  }
-
   private long leftMillis() {
     return (long) Nanos.toMillis(deadline - context.loop().now());
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/BodyCollector.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/BodyCollector.java
@@ -1,4 +1,4 @@
-package org.arbutusspar.entry.gateway;
+package org.arbutusspar.io.http;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -7,7 +7,7 @@
 import org.eclipse.jetty.server.Request;
 
 /** Reads the whole body of a request within a bound. */
-final class BodyCollector {
+public final class BodyCollector {
 
   private final Request request;
   private final int maxBytes;
@@ -38,7 +38,7 @@
    * @param tooLarge run if there are more bytes, not null
    * @param failed told if the body cannot be read, not null
    */
-  static void read(
+  public static void read(
       Request request,
       int maxBytes,
       Consumer<byte[]> whole,
