Remove what nothing calls, one sum of the bytes of pieces

Cause: the last read of the change: PieceGatherer.nextWakeUp, ReplicaBook.freePlaces, WindowedRetryBudget.onExtra, StreamHost.stopAccepting and FellowNet.connected had no caller, and the sum of result bytes stood five times in PieceGatherer. Change: they are gone; bytes(pieces) serves the five places. No decision is touched.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
@@ -144,13 +144,6 @@
     return loads.computeIfAbsent(replica.id(), id -> new ReplicaLoad());
   }
 
-  /** Returns the number of requests that the replicas of a service can take now, estimated. */
-  public double freePlaces(String service, long now) {
-    return usable(service).stream()
-        .mapToDouble(r -> Math.max(0, r.slots() - load(r).estimate(now)))
-        .sum();
-  }
-
   /** Counts a request that is sent. */
   public void onSent(UpstreamReplica replica) {
     load(replica).onSent();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WindowedRetryBudget.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WindowedRetryBudget.java
@@ -65,16 +65,6 @@
     return true;
   }
 
-  /**
-   * Counts an extra request that was sent whatever the budget says.
-   *
-   * @param now current time
-   */
-  public void onExtra(long now) {
-    advance(now);
-    extras[slot(current)]++;
-  }
-
   private void advance(long now) {
     long slice = Math.floorDiv(now, sliceNanos);
     if (!used || slice - current > SLICES_PER_WINDOW) {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -232,7 +232,7 @@
             isNear(first, worker) == near
                 && (near || mayCross(first, now))
                 && (isInTime(first, now) || room > lateRoom);
-        long bytes = group.stream().mapToLong(Piece::resultBytes).sum();
+        long bytes = bytes(group);
         if (wanted && selected.size() + group.size() <= limits.batch() && bytes <= room) {
           selected.addAll(group);
           room -= bytes;
@@ -248,7 +248,7 @@
       return List.of();
     }
     List<Piece> group = groups.get(0);
-    long bytes = group.stream().mapToLong(Piece::resultBytes).sum();
+    long bytes = bytes(group);
     if (group.size() <= limits.batch() && bytes <= limits.roomBytes()) {
       return List.of();
     }
@@ -263,6 +263,10 @@
     return selected;
   }
 
+  private static long bytes(List<Piece> pieces) {
+    return pieces.stream().mapToLong(Piece::resultBytes).sum();
+  }
+
   private static boolean isInTime(Piece piece, long now) {
     return now - piece.startBy() <= 0;
   }
@@ -288,7 +292,7 @@
       callSize += RATIO_WEIGHT * (pieces.size() - callSize);
     }
     worker.calls++;
-    worker.usedBytes += pieces.stream().mapToLong(Piece::resultBytes).sum();
+    worker.usedBytes += bytes(pieces);
     calls.put(call.number(), call);
     return call;
   }
@@ -373,7 +377,7 @@
     end(call, worker);
     worker.pause(now);
     if (!wasFull) {
-      long bytes = call.pieces().stream().mapToLong(Piece::resultBytes).sum();
+      long bytes = bytes(call.pieces());
       worker.reserve(bytes, limits.keepMillis(), now);
     }
     Completion completion = new Completion(new ArrayList<>(), new ArrayList<>());
@@ -391,7 +395,7 @@
 
   private void end(PieceCall call, Worker worker) {
     worker.calls--;
-    worker.usedBytes -= call.pieces().stream().mapToLong(Piece::resultBytes).sum();
+    worker.usedBytes -= bytes(call.pieces());
   }
 
   /**
@@ -460,15 +464,6 @@
     return (limits.callMillis() + pieces * limits.pieceMillis()) / 1_000;
   }
 
-  /** Returns when a paused replica may be called again, or the largest value if none is paused. */
-  public long nextWakeUp(long now) {
-    return workers.values().stream()
-        .filter(worker -> worker.listed && worker.pausedUntil - now > 0)
-        .mapToLong(worker -> worker.pausedUntil)
-        .min()
-        .orElse(Long.MAX_VALUE);
-  }
-
   /**
    * What became of the pieces of a call.
    *
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/FellowNet.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/FellowNet.java
@@ -1,7 +1,6 @@
 package org.arbutusspar.entry.gateway;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -205,11 +204,6 @@
     }
   }
 
-  /** Names of the instances with an open connection. */
-  List<String> connected() {
-    return new ArrayList<>(byName.keySet());
-  }
-
   /** Told of what other instances say. */
   interface Listener {
 
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
@@ -101,13 +101,6 @@
     }
   }
 
-  /** Stops to accept connections; those that are open are served on. */
-  public void stopAccepting() {
-    for (var connector : server.getConnectors()) {
-      ((ServerConnector) connector).close();
-    }
-  }
-
   @Override
   public void close() {
     LifeCycle.stop(server);
