Bound the time of headers and bodies; stand-ins break HTTP, run out of places, keep prompts

Cause: header_timeout_ms of the configuration was read and not enforced, and a body that stops midway held its request and its connection without end; the stand-ins of replicas had no places, no memory of prompts and could not send extra bytes, second or early answers. Change: the end point of a client notes when a header begins and sets a timer only for one that does not come in one piece; a body that is not there at the route's timeout gets 408, since nothing has been sent. Ruled out: a timer for each header (costs work for each request).

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutusspar.core.routing.KeyOwner;
@@ -24,12 +25,16 @@
   private static final int BAD_REQUEST = 400;
   private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int TOO_LARGE = 413;
   private static final int UNAVAILABLE = 503;
 
   /** Bodies of all requests together; beyond it new requests are refused. */
   private static final long MAX_HELD_BYTES = 48L << 20;
 
+  /** Time kept back so that the client has its answer before its deadline. */
+  private static final long BODY_MARGIN_MILLIS = 40;
+
   /** When to come back to an instance that has just started or is full, in seconds. */
   private static final String SOON = "0.4";
 
@@ -106,12 +111,35 @@
       return;
     }
     long arrivedAt = context.loop().now();
+    AtomicBoolean decided = new AtomicBoolean();
     BodyCollector.read(
         request,
         current.limits().bodyBytes(),
-        body -> serve(current, read, route.get(), owner, body, exchange, arrivedAt),
-        () -> refuse(exchange, read.id(), TOO_LARGE, "body-too-large"),
-        cause -> exchange.cut(String.valueOf(cause.getMessage())));
+        body -> {
+          if (decided.compareAndSet(false, true)) {
+            serve(current, read, route.get(), owner, body, exchange, arrivedAt);
+          }
+        },
+        () -> {
+          decided.set(true);
+          refuse(exchange, read.id(), TOO_LARGE, "body-too-large");
+        },
+        cause -> {
+          decided.set(true);
+          exchange.cut(String.valueOf(cause.getMessage()));
+        });
+    if (!decided.get()) {
+      long patience = read.patienceMillis().orElse(Long.MAX_VALUE);
+      long limit = Math.min(patience, route.get().timeoutMillis()) - BODY_MARGIN_MILLIS;
+      context.loop().after(limit, () -> refuseLateBody(exchange, read.id(), decided));
+    }
+  }
+
+  private void refuseLateBody(ClientExchange exchange, String id, AtomicBoolean decided) {
+    if (decided.compareAndSet(false, true)) {
+      exchange.closeAfter();
+      refuse(exchange, id, REQUEST_TIMEOUT, "body-late");
+    }
   }
 
   private void serve(
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -215,6 +215,7 @@
     state = fresh;
     stateOffset = record.offset();
     host.headerBytes(fresh.limits().headerBytes());
+    host.headerMillis(fresh.limits().headerMillis());
     host.idleMillis(fresh.limits().idleMillis());
     pieces.onState(fresh);
     clients.state(fresh);
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayTest.java
@@ -6,142 +6,23 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.BooleanSupplier;
-import org.arbutusspar.core.id.DataCentre;
-import org.arbutusspar.core.route.Endpoint;
 import org.arbutusspar.io.http.RawClient;
 import org.arbutusspar.io.http.RawReply;
-import org.arbutusspar.platform.PlatformSettings;
-import org.arbutusspar.platform.standin.CrashingReplica;
 import org.arbutusspar.platform.standin.ReplicaStandin;
 import org.arbutusspar.platform.standin.ReplicaStandin.Behaviour;
 import org.arbutusspar.platform.standin.SampleTraffic;
+import org.arbutusspar.platform.standin.ScriptedReplica;
+import org.arbutusspar.platform.standin.ScriptedReplica.Script;
 import org.arbutusspar.platform.standin.StoreStandin;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Runs instances on loopback against stand-ins of the store and of replicas. */
-class GatewayTest {
-
-  private static final String FIRST = "127.0.0.1";
-  private static final String SECOND = "127.0.0.2";
-
-  /** Bound of the target for a configuration to be in force. */
-  private static final long APPLY_MILLIS = 2_000;
-
-  private final List<AutoCloseable> open = new ArrayList<>();
-  private StoreStandin store;
-  private Endpoint storeEndpoint;
-  private ReplicaStandin engine;
-  private ReplicaStandin worker;
-  private RawClient client;
-
-  /** An instance with its endpoints. */
-  private record Instance(Gateway gateway, PlatformSettings settings) {}
-
-  @BeforeEach
-  void startStandins() throws IOException {
-    storeEndpoint = freeEndpoint(FIRST);
-    store = keep(StoreStandin.start(storeEndpoint));
-    engine = keep(ReplicaStandin.start("i-1", freeEndpoint(FIRST)));
-    worker = keep(ReplicaStandin.start("i-2", freeEndpoint(FIRST)));
-    QueuedThreadPool threads = new QueuedThreadPool(16);
-    threads.setStopTimeout(100);
-    client = keep(RawClient.start("", threads, 1_000, 1_000));
-    store.configuration(SampleTraffic.configuration(1, "key"));
-    store.replica("i-1", engine.entry(SampleTraffic.ENGINE, false));
-    store.replica("i-2", worker.entry(SampleTraffic.WORKER, false));
-  }
-
-  @AfterEach
-  void closeAll() throws Exception {
-    for (int i = open.size() - 1; i >= 0; i--) {
-      open.get(i).close();
-    }
-  }
-
-  private <T extends AutoCloseable> T keep(T closeable) {
-    open.add(closeable);
-    return closeable;
-  }
-
-  private static Endpoint freeEndpoint(String address) throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
-      return new Endpoint(address, socket.getLocalPort());
-    }
-  }
-
-  private Instance startInstance(String name, String address, List<Endpoint> seeds)
-      throws IOException {
-    PlatformSettings settings =
-        new PlatformSettings(
-            name,
-            DataCentre.of("a"),
-            address,
-            freeEndpoint(address),
-            freeEndpoint(address),
-            freeEndpoint(address),
-            freeEndpoint(address),
-            Optional.empty(),
-            seeds,
-            storeEndpoint,
-            new PlatformSettings.Bounds(8_000, 2_000, 0.2, 10_000, 50, 5_000));
-    return new Instance(keep(Gateway.start(settings)), settings);
-  }
-
-  private Instance startReady() throws IOException {
-    Instance instance = startInstance("e-1", FIRST, List.of());
-    await(() -> isReady(instance));
-    await(() -> call(instance, "/p/warm", "warm", "key").status() == 200);
-    engine.runs().clear();
-    engine.targets().clear();
-    return instance;
-  }
-
-  private boolean isReady(Instance instance) {
-    var question = SampleTraffic.readinessQuestion(instance.settings().readiness());
-    return client.fetch("test", question).join().status() == 200;
-  }
-
-  private RawReply call(Instance instance, String target, String id, String key) {
-    return send(instance, target, id, key).join();
-  }
-
-  private CompletableFuture<RawReply> send(
-      Instance instance, String target, String id, String key) {
-    return client.fetch(
-        "test", SampleTraffic.request(instance.settings().clients(), target, id, key));
-  }
-
-  private static void await(BooleanSupplier condition) {
-    await(condition, 8_000);
-  }
-
-  private static void await(BooleanSupplier condition, long millis) {
-    long until = System.nanoTime() + millis * 1_000_000;
-    while (!condition.getAsBoolean()) {
-      assertTrue(System.nanoTime() - until < 0, "not within " + millis + " ms");
-      sleep(10);
-    }
-  }
-
-  private static void sleep(long millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      throw new IllegalStateException(e);
-    }
-  }
+class GatewayTest extends GatewayRig {
 
   @Test
   void passesRequestsAndAnswersOnAsTheyStand() throws IOException {
@@ -287,7 +168,7 @@
   @Test
   void answerWithoutLengthThatIsResetDoesNotLookWhole() throws IOException {
     Instance instance = startReady();
-    CrashingReplica crashing = keep(CrashingReplica.start(FIRST));
+    ScriptedReplica crashing = keep(ScriptedReplica.start(FIRST, Script.RESET_MIDWAY));
     store.replica("i-1", "");
     store.replica("i-9", ReplicaStandin.entry(crashing.endpoint(), SampleTraffic.ENGINE, false));
     await(() -> call(instance, "/n/x", "n" + System.nanoTime(), "key").status() == 502);
@@ -362,11 +243,6 @@
     assertTrue(addresses(first).contains(first.settings().clients().toString()));
   }
 
-  private String addresses(Instance instance) {
-    var question = SampleTraffic.addressQuestion(instance.settings().directory());
-    return new String(client.fetch("test", question).join().body(), StandardCharsets.UTF_8);
-  }
-
   @Test
   void piecesGoOnWhenTheInstanceThatGathersThemIsGone() throws IOException {
     Instance first = startReady();
--- /dev/null
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostilePeersTest.java
@@ -0,0 +1,181 @@
+package org.arbutusspar.entry.gateway;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.arbutusspar.core.route.Endpoint;
+import org.arbutusspar.io.http.RawCall;
+import org.arbutusspar.io.http.RawReply;
+import org.arbutusspar.platform.standin.ReplicaStandin;
+import org.arbutusspar.platform.standin.ReplicaStandin.Behaviour;
+import org.arbutusspar.platform.standin.SampleTraffic;
+import org.arbutusspar.platform.standin.ScriptedReplica;
+import org.arbutusspar.platform.standin.ScriptedReplica.Script;
+import org.junit.jupiter.api.Test;
+
+/** Replicas that break the protocol or run out of places, and clients that send slowly. */
+class HostilePeersTest extends GatewayRig {
+
+  private ScriptedReplica replaceEngine(Instance instance, Script script) throws IOException {
+    ScriptedReplica replica = keep(ScriptedReplica.start(FIRST, script));
+    store.replica("i-1", "");
+    store.replica("i-9", ReplicaStandin.entry(replica.endpoint(), SampleTraffic.ENGINE, false));
+    await(() -> reaches(instance));
+    return replica;
+  }
+
+  private boolean reaches(Instance instance) {
+    RawReply reply = call(instance, "/n/x", "n" + System.nanoTime(), "key");
+    return reply.field("X-Response-Signature").orElse("").startsWith("s.");
+  }
+
+  private CompletableFuture<RawReply> sendBody(Instance instance, String id, byte[] body) {
+    RawCall call =
+        SampleTraffic.request(instance.settings().clients(), "/n/x", id, "key").withBody(body);
+    return client.fetch("test", call);
+  }
+
+  @Test
+  void extraBytesAfterAnAnswerBelongToNoRequest() throws IOException {
+    Instance instance = startReady();
+    replaceEngine(instance, Script.EXTRA_BYTES);
+    assertOnlyOwnAnswers(instance);
+  }
+
+  @Test
+  void secondAnswerBelongsToNoRequest() throws IOException {
+    Instance instance = startReady();
+    replaceEngine(instance, Script.SECOND_ANSWER);
+    assertOnlyOwnAnswers(instance);
+    sleep(50);
+    assertOnlyOwnAnswers(instance);
+  }
+
+  private void assertOnlyOwnAnswers(Instance instance) {
+    for (int i = 0; i < 20; i++) {
+      String id = "m" + i + "-" + System.nanoTime();
+      RawReply reply = call(instance, "/n/x", id, "key");
+      if (reply.status() == 200) {
+        assertEquals(Optional.of("s." + id), reply.field("X-Response-Signature"));
+        assertEquals("whole", new String(reply.body(), StandardCharsets.UTF_8));
+      } else {
+        assertEquals(502, reply.status(), "a request that may have run is not said to be not run");
+        assertEquals(Optional.empty(), reply.field("X-Response-Signature"));
+      }
+    }
+  }
+
+  @Test
+  void answersThatAreNoHttpOrTooShortAreFailures() throws IOException {
+    Instance instance = startReady();
+    for (Script script : List.of(Script.NOT_HTTP, Script.SHORT_BODY)) {
+      ScriptedReplica replica = keep(ScriptedReplica.start(FIRST, script));
+      store.replica("i-1", ReplicaStandin.entry(replica.endpoint(), SampleTraffic.ENGINE, false));
+      await(() -> call(instance, "/n/x", "n" + System.nanoTime(), "key").status() == 502);
+      for (int i = 0; i < 3; i++) {
+        assertEquals(502, call(instance, "/n/x", script + "-" + i, "key").status());
+      }
+    }
+  }
+
+  /** A replica that answers first and reads on later gets the rest of that body, nothing else. */
+  @Test
+  void bodyAfterAnEarlyAnswerIsTheRequestsOwn() throws IOException {
+    Instance instance = startReady();
+    ScriptedReplica replica = replaceEngine(instance, Script.EARLY_ANSWER);
+    byte[] large = new byte[3 << 20];
+    new Random(7).nextBytes(large);
+    for (int i = 0; i < 4; i++) {
+      sendBody(instance, "large" + i, large).join();
+      call(instance, "/n/x", "small" + i, "key");
+    }
+    for (ScriptedReplica.Received request : replica.received()) {
+      byte[] sent = request.id().startsWith("large") ? large : new byte[100];
+      assertArrayEquals(Arrays.copyOf(sent, request.body().length), request.body());
+    }
+    assertEquals(List.of(), replica.malformed());
+  }
+
+  @Test
+  void replicaWithoutPlacesIsNotRunAndSaidSo() throws IOException {
+    Instance instance = startReady();
+    engine.places(1, 1, 200);
+    List<CompletableFuture<RawReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      replies.add(send(instance, "/n/x", "r" + i, "key"));
+    }
+    long refused = replies.stream().filter(reply -> reply.join().status() == 503).count();
+    long served = replies.stream().filter(reply -> reply.join().status() == 200).count();
+    assertEquals(6, refused + served);
+    assertEquals(served, engine.runs().size());
+    assertTrue(served >= 2, served + " served");
+  }
+
+  /** Replays a session's prompts on two engines: what one has read is not read by the other. */
+  @Test
+  void promptsOfSessionsStayWithTheEngineThatHasReadThem() throws IOException {
+    final Instance instance = startReady();
+    ReplicaStandin other = keep(ReplicaStandin.start("i-3", freeEndpoint(FIRST)));
+    store.replica("i-3", other.entry(SampleTraffic.ENGINE, false));
+    engine.behave(Behaviour.STREAM);
+    other.behave(Behaviour.STREAM);
+    await(() -> stream(instance, "w" + System.nanoTime()) == 200 && !other.runs().isEmpty());
+    engine.memoryTokens(600_000);
+    other.memoryTokens(600_000);
+    for (int round = 0; round < 5; round++) {
+      for (int session = 0; session < 4; session++) {
+        assertEquals(200, stream(instance, "common:800,session" + session));
+      }
+    }
+    long read = engine.promptTokensRead() + other.promptTokensRead();
+    assertTrue(read <= 2 * 800 + 4 * 2_000, read + " tokens read, 48,000 without memory");
+  }
+
+  private int stream(Instance instance, String prompt) {
+    RawCall call =
+        SampleTraffic.request(
+            instance.settings().clients(), "/s/x", "s" + System.nanoTime(), "key");
+    return client.fetch("test", SampleTraffic.withPrompt(call, prompt + ":2000")).join().status();
+  }
+
+  @Test
+  void headerThatDoesNotEndIsGivenUp() throws IOException {
+    Instance instance = startReady();
+    Endpoint clients = instance.settings().clients();
+    long from = System.nanoTime();
+    try (Socket socket = new Socket(clients.host(), clients.port())) {
+      socket.setSoTimeout(5_000);
+      socket.getOutputStream().write("GET /p/x HTTP/1.1\r\nHost: h\r\n".getBytes(UTF_8));
+      assertEquals(-1, socket.getInputStream().read());
+    }
+    long millis = (System.nanoTime() - from) / 1_000_000;
+    assertTrue(millis >= SampleTraffic.HEADER_MILLIS - 50 && millis < 1_500, millis + " ms");
+  }
+
+  @Test
+  void bodyThatDoesNotEndIsAnsweredBeforeTheRoutesTimeout() throws IOException {
+    Instance instance = startReady();
+    Endpoint clients = instance.settings().clients();
+    String head =
+        "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: 1500\r\n"
+            + "Api-Key: key\r\nContent-Length: 10\r\n\r\nhalf";
+    try (Socket socket = new Socket(clients.host(), clients.port())) {
+      socket.setSoTimeout(1_600);
+      socket.getOutputStream().write(head.getBytes(UTF_8));
+      byte[] answer = socket.getInputStream().readNBytes(12);
+      assertEquals("HTTP/1.1 408", new String(answer, UTF_8));
+    }
+    assertTrue(engine.runs().isEmpty());
+  }
+}
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawCall.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawCall.java
@@ -33,4 +33,14 @@
     Objects.requireNonNull(body, "body");
     fields = List.copyOf(fields);
   }
+
+  /** Returns the call with another body. */
+  public RawCall withBody(byte[] fresh) {
+    return new RawCall(method, endpoint, target, fields, fresh, timeoutMillis, keepConnection);
+  }
+
+  /** Returns the call with other header fields. */
+  public RawCall withFields(List<HeaderField> fresh) {
+    return new RawCall(method, endpoint, target, fresh, body, timeoutMillis, keepConnection);
+  }
 }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
@@ -30,8 +30,12 @@
   private static final int ACCEPT_QUEUE = 1_024;
   private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
 
+  /** Limit until the configuration names one; clients give up on an unread request sooner. */
+  private static final long PRESET_HEADER_MILLIS = 10_000;
+
   private final Server server;
   private final HttpConfiguration configuration = newConfiguration();
+  private volatile long headerMillis = PRESET_HEADER_MILLIS;
 
   private StreamHost(Server server) {
     this.server = server;
@@ -64,6 +68,11 @@
     configuration.setResponseHeaderSize(bytes);
   }
 
+  /** Sets the longest time that a client may take to send a request's header. */
+  public void headerMillis(long millis) {
+    headerMillis = millis;
+  }
+
   /** Sets the longest time that a connection stays idle, for connections made from now on. */
   public void idleMillis(long millis) {
     for (var connector : server.getConnectors()) {
@@ -78,7 +87,7 @@
    * @param handler answers its requests, not null
    */
   public void add(Endpoint endpoint, StreamHandler handler) {
-    WatchedConnector connector = new WatchedConnector(server, configuration, handler);
+    WatchedConnector connector = new WatchedConnector(this, handler);
     connector.setHost(endpoint.host());
     connector.setPort(endpoint.port());
     connector.setAcceptQueueSize(ACCEPT_QUEUE);
@@ -165,6 +174,11 @@
       WatchedConnector connector =
           (WatchedConnector) request.getConnectionMetaData().getConnector();
       request.addIdleTimeoutListener(timeout -> false);
+      if (request.getConnectionMetaData().getConnection().getEndPoint()
+          instanceof WatchedEndPoint endPoint) {
+        long number = endPoint.onRequestBegin();
+        Request.addCompletionListener(request, failure -> endPoint.onRequestEnd(number));
+      }
       connector.handler.handle(request, response, callback);
       return true;
     }
@@ -181,11 +195,12 @@
 
   /** Makes watched end points. */
   private static final class WatchedConnector extends ServerConnector {
+    private final StreamHost host;
     private final StreamHandler handler;
 
-    private WatchedConnector(
-        Server server, HttpConfiguration configuration, StreamHandler handler) {
-      super(server, 0, 1, new HttpConnectionFactory(configuration));
+    private WatchedConnector(StreamHost host, StreamHandler handler) {
+      super(host.server, 0, 1, new HttpConnectionFactory(host.configuration));
+      this.host = host;
       this.handler = handler;
     }
 
@@ -193,7 +208,8 @@
     protected SocketChannelEndPoint newEndPoint(
         SocketChannel channel, ManagedSelector selector, SelectionKey key) throws IOException {
       SocketChannelEndPoint endPoint =
-          new WatchedEndPoint(channel, selector, key, getScheduler(), getExecutor());
+          new WatchedEndPoint(
+              channel, selector, key, getScheduler(), getExecutor(), () -> host.headerMillis);
       endPoint.setIdleTimeout(getIdleTimeout());
       return endPoint;
     }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/WatchedEndPoint.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/WatchedEndPoint.java
@@ -6,6 +6,8 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.arbutusspar.io.KeyValueLine;
@@ -33,15 +35,91 @@
   private boolean watching;
   private Callback waiting;
   private Runnable onClosed;
+  private final Scheduler scheduler;
+  private final LongSupplier headerMillis;
+  private Phase phase = Phase.IDLE;
+  private long headerSince;
+  private long requestNumber;
+  private Scheduler.Task headerTimer;
+
+  /** What the connection carries at the moment. */
+  private enum Phase {
+    /** Nothing: the next byte begins a request. */
+    IDLE,
+    /** A part of a request's header. */
+    HEADER,
+    /** A request whose header is there whole, or its answer. */
+    REQUEST
+  }
 
   WatchedEndPoint(
       SocketChannel channel,
       ManagedSelector selector,
       SelectionKey key,
       Scheduler scheduler,
-      Executor executor) {
+      Executor executor,
+      LongSupplier headerMillis) {
     super(channel, selector, key, scheduler);
     this.executor = executor;
+    this.scheduler = scheduler;
+    this.headerMillis = headerMillis;
+  }
+
+  /**
+   * Notes that the header of a request has been read.
+   *
+   * @return the request's number, to be given to {@link #onRequestEnd}
+   */
+  long onRequestBegin() {
+    synchronized (lock) {
+      phase = Phase.REQUEST;
+      if (headerTimer != null) {
+        headerTimer.cancel();
+        headerTimer = null;
+      }
+      return ++requestNumber;
+    }
+  }
+
+  /** Notes that a request has been answered; of no effect if the next one has begun. */
+  void onRequestEnd(long number) {
+    synchronized (lock) {
+      if (number == requestNumber && phase == Phase.REQUEST) {
+        phase = Phase.IDLE;
+      }
+    }
+  }
+
+  private void noteBytes() {
+    if (phase == Phase.IDLE) {
+      phase = Phase.HEADER;
+      headerSince = System.nanoTime();
+    }
+  }
+
+  /** Sets a timer only for a header that did not arrive in one piece, which is rare. */
+  private void limitHeader() {
+    synchronized (lock) {
+      if (phase == Phase.HEADER && headerTimer == null) {
+        long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - headerSince);
+        long left = Math.max(0, headerMillis.getAsLong() - passed);
+        headerTimer = scheduler.schedule(this::onHeaderLate, left, TimeUnit.MILLISECONDS);
+      }
+    }
+  }
+
+  private void onHeaderLate() {
+    synchronized (lock) {
+      headerTimer = null;
+      if (phase != Phase.HEADER) {
+        return;
+      }
+    }
+    LOG.info(
+        KeyValueLine.event("header-late")
+            .with("peer", getRemoteSocketAddress())
+            .with("limit_ms", headerMillis.getAsLong()));
+    close();
   }
 
   /**
@@ -97,14 +175,20 @@
         int position = BufferUtil.flipToFill(buffer);
         int count = BufferUtil.put(early, buffer);
         BufferUtil.flipToFlush(buffer, position);
+        noteBytes();
         return count;
       }
-      return ended ? -1 : super.fill(buffer);
+      int count = ended ? -1 : super.fill(buffer);
+      if (count > 0) {
+        noteBytes();
+      }
+      return count;
     }
   }
 
   @Override
   public void fillInterested(Callback callback) {
+    limitHeader();
     if (!register(callback)) {
       super.fillInterested(callback);
     }
@@ -112,6 +196,7 @@
 
   @Override
   public boolean tryFillInterested(Callback callback) {
+    limitHeader();
     return register(callback) || super.tryFillInterested(callback);
   }
 
