Roles stay where they are, queues move when their gatherer leaves, nothing is cut at the end of a shutdown

A rolling restart moved each gatherer twice (away, and back to the instance that returned); the old one kept its queue beside the new one, so that two shared the places and rooms of the replicas without knowing of each other. After a power loss the pieces of 1.5 s gathered at nobody, while admission went by the last wait told. Work for instances that were gone went on being made. Requests that were still in their stages at the end of a shutdown were cut ('stopped active=2'). Change: beats name the roles that an instance has had work in; they stay with it. A gatherer that is none any more hands its queue back at once. Waits grow with the silence of who told them; silence counts from 1.0 s (1.3 s before). A gatherer that starts asks the replicas for their free room. Pieces of lost instances are dropped, their results released after 1 s if the instance has not come back. Requests that no replica has seen are refused at the end of a shutdown; streams that would not end within it are refused at once. Ruled out: a lease in the store (a call for each move, and no safer, since making a piece twice breaks nothing).

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Beat.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/Beat.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.core.fellow;
 
 import java.util.Map;
+import java.util.Set;
 import org.arbutusspar.core.stage.QueueWait;
 
 /**
@@ -11,19 +12,22 @@
  * @param configurationOffset offset of the configuration in force there, -1 if there is none
  * @param replicasOffset offset up to which it has read the list of replicas, -1 if it has not
  * @param waits for each service whose pieces it gathers, how long a new piece waits
+ * @param roles roles that it has had work in lately
  */
 public record Beat(
     boolean ready,
     boolean leaving,
     long configurationOffset,
     long replicasOffset,
-    Map<String, QueueWait> waits) {
+    Map<String, QueueWait> waits,
+    Set<String> roles) {
 
   /** State of an instance that has said nothing yet. */
-  public static final Beat UNKNOWN = new Beat(false, false, -1, -1, Map.of());
+  public static final Beat UNKNOWN = new Beat(false, false, -1, -1, Map.of(), Set.of());
 
-  /** Copies the map. */
+  /** Copies the collections. */
   public Beat {
     waits = Map.copyOf(waits);
+    roles = Set.copyOf(roles);
   }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
@@ -20,6 +20,9 @@
   /** Most instances that are kept. */
   public static final int MAX_FELLOWS = 1_024;
 
+  /** A figure of this age is up to date: beats come every 0.4 s, at times a little later. */
+  private static final long FRESH_NANOS = Nanos.ofMillis(500);
+
   private final Fellow self;
   private final long silenceNanos;
   private final Map<String, Entry> entries = new TreeMap<>();
@@ -121,43 +124,66 @@
     return entry.connected && now - entry.heardAt < silenceNanos;
   }
 
+  /** Returns the incarnation of an instance, or empty if it is not known. */
+  public Optional<Long> incarnation(String name) {
+    return Optional.ofNullable(entries.get(name)).map(entry -> entry.fellow.incarnation());
+  }
+
   /** Returns the number of live instances, this one included. */
   public int liveCount(long now) {
     return 1 + live(now).size();
   }
 
   /**
-   * Returns the instance that gathers the pieces of a service. Instances that know the same live
-   * ones agree; until they do, two may gather, which costs work but breaks nothing.
+   * Returns the instance that has a role, such as to gather the pieces of a service. It is one that
+   * says that it has it, if there is one, so that an instance which comes back takes nothing away.
+   * Instances that know the same live ones agree; until they do, two may have the role, which costs
+   * work but breaks nothing.
    *
-   * @param service name of the service, not null
+   * @param role name of the role, not null
    * @param now current time
    * @return name of the instance
    */
-  public String gatherer(String service, long now) {
-    List<String> names = new ArrayList<>();
+  public String holder(String role, long now) {
+    List<String> able = new ArrayList<>();
+    List<String> holding = new ArrayList<>();
     if (!own.leaving()) {
-      names.add(self.name());
+      able.add(self.name());
+      addIfHolding(self.name(), own, role, holding);
     }
-    entries.values().stream()
-        .filter(entry -> isLive(entry, now) && !entry.beat.leaving())
-        .forEach(entry -> names.add(entry.fellow.name()));
-    List<String> top = Rendezvous.top(names, name -> name, service, 1);
+    for (Entry entry : entries.values()) {
+      if (isLive(entry, now) && !entry.beat.leaving()) {
+        able.add(entry.fellow.name());
+        addIfHolding(entry.fellow.name(), entry.beat, role, holding);
+      }
+    }
+    List<String> names = holding.isEmpty() ? able : holding;
+    List<String> top = Rendezvous.top(names, name -> name, role, 1);
     return top.isEmpty() ? self.name() : top.get(0);
   }
 
+  private static void addIfHolding(String name, Beat beat, String role, List<String> holding) {
+    if (beat.roles().contains(role)) {
+      holding.add(name);
+    }
+  }
+
   /**
-   * Returns how long a new piece of a service waits where such pieces are gathered.
+   * Returns how long a new piece of a service waits where such pieces are gathered. While that
+   * instance is silent, pieces gather unseen, so its last figure grows with its age.
    *
    * @param service name of the service, not null
    * @param now current time
    * @return the wait as last told, none if it has not been told
    */
   public QueueWait queueWait(String service, long now) {
-    String gatherer = gatherer(service, now);
-    Entry entry = entries.get(gatherer);
-    Beat beat = entry == null ? own : entry.beat;
-    return beat.waits().getOrDefault(service, QueueWait.NONE);
+    Entry entry = entries.get(holder(service, now));
+    if (entry == null) {
+      return own.waits().getOrDefault(service, QueueWait.NONE);
+    }
+    long overdue = Math.max(0, now - entry.heardAt - FRESH_NANOS);
+    QueueWait told = entry.beat.waits().getOrDefault(service, QueueWait.NONE);
+    return told.plus((int) Nanos.toMillis(overdue));
   }
 
   /**
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -147,6 +147,39 @@
     return before - queue.size();
   }
 
+  /** Removes all waiting pieces and returns them, in the order in which they came. */
+  public List<Piece> takeWaiting() {
+    List<Piece> all = List.copyOf(queue.values());
+    queue.clear();
+    return all;
+  }
+
+  /**
+   * Drops the waiting pieces of an instance's requests; results of those being made are released
+   * when they come.
+   *
+   * @param origin the instance, not null
+   * @return number of waiting pieces that were dropped
+   */
+  public int cancelOrigin(String origin) {
+    int before = queue.size();
+    queue.values().removeIf(piece -> piece.origin().equals(origin));
+    for (PieceCall call : calls.values()) {
+      call.pieces().stream()
+          .filter(piece -> piece.origin().equals(origin))
+          .forEach(piece -> cancelledInCall.add(piece.id()));
+    }
+    return before - queue.size();
+  }
+
+  /** Returns the handles of the results made for an instance's requests that are still kept. */
+  public List<String> keptFor(String origin) {
+    return kept.entrySet().stream()
+        .filter(entry -> entry.getValue().origin().equals(origin))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /**
    * Removes the waiting pieces whose results would come too late.
    *
@@ -343,7 +376,7 @@
       }
       worker.usedBytes += piece.resultBytes();
       long expiresAt = now + Nanos.ofMillis(limits.keepMillis());
-      kept.put(result.handle(), new Kept(worker, piece.resultBytes(), expiresAt));
+      kept.put(result.handle(), new Kept(worker, piece.origin(), piece.resultBytes(), expiresAt));
       into.outcomes().add(PieceOutcome.made(piece.id(), result));
       return;
     }
@@ -426,6 +459,23 @@
     return expired;
   }
 
+  /**
+   * Takes a replica's report of its memory: what this gatherer does not account for itself, another
+   * one has had made there.
+   *
+   * @param replicaId identifier of the replica, not null
+   * @param freeBytes memory for results that is free
+   * @param now current time
+   */
+  public void onFreeRoom(String replicaId, long freeBytes, long now) {
+    Worker worker = workers.get(replicaId);
+    if (worker != null) {
+      long unknown = limits.roomBytes() - freeBytes - worker.usedBytes;
+      worker.unknownBytes = 0;
+      worker.reserve(Math.max(0, unknown), UNKNOWN_ROOM_MILLIS, now);
+    }
+  }
+
   /** Returns the number of waiting pieces. */
   public int waiting() {
     return queue.size();
@@ -476,7 +526,7 @@
   }
 
   /** A result at a replica. */
-  private record Kept(Worker worker, long bytes, long expiresAt) {}
+  private record Kept(Worker worker, String origin, long bytes, long expiresAt) {}
 
   /** A replica as this gatherer sees it. */
   private static final class Worker {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceOutcome.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceOutcome.java
@@ -21,6 +21,9 @@
   /** Reason of a piece that no replica could make. */
   public static final String FAILED = "failed";
 
+  /** Reason of a piece that is to be handed to the instance which gathers it now. */
+  public static final String MOVED = "moved";
+
   /** Checks the components. */
   public PieceOutcome {
     Objects.requireNonNull(id, "id");
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/QueueWait.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/QueueWait.java
@@ -11,6 +11,11 @@
   /** Nothing waits. */
   public static final QueueWait NONE = new QueueWait(0, 0);
 
+  /** Returns both waits, longer by some milliseconds. */
+  public QueueWait plus(int millis) {
+    return millis == 0 ? this : new QueueWait(inTimeMillis + millis, lateMillis + millis);
+  }
+
   /** Returns the wait of one kind of piece. */
   public int millis(boolean late) {
     return late ? lateMillis : inTimeMillis;
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/fellow/FellowTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/fellow/FellowTableTest.java
@@ -32,7 +32,7 @@
   }
 
   private static Beat beat(boolean ready, boolean leaving, long offset) {
-    return new Beat(ready, leaving, offset, offset, Map.of());
+    return new Beat(ready, leaving, offset, offset, Map.of(), Set.of());
   }
 
   private static FellowTable table(int self, int others) {
@@ -51,7 +51,7 @@
   void instancesThatKnowTheSameFellowsAgreeOnTheGatherer() {
     Set<String> chosen = new HashSet<>();
     for (int self = 1; self <= 6; self++) {
-      chosen.add(table(self, 5).gatherer("entregas", 0));
+      chosen.add(table(self, 5).holder("entregas", 0));
     }
     assertEquals(1, chosen.size());
   }
@@ -60,7 +60,7 @@
   private static String serviceOfAnother(FellowTable table) {
     return IntStream.range(0, 100)
         .mapToObj(i -> "s" + i)
-        .filter(service -> !table.gatherer(service, 0).equals("e1"))
+        .filter(service -> !table.holder(service, 0).equals("e1"))
         .findFirst()
         .orElseThrow();
   }
@@ -69,14 +69,14 @@
   void leavingLostAndSilentFellowsDoNotGather() {
     FellowTable table = table(1, 5);
     String service = serviceOfAnother(table);
-    String gatherer = table.gatherer(service, 0);
+    String gatherer = table.holder(service, 0);
     table.onBeat(gatherer, beat(true, true, 5), 0);
-    assertNotEquals(gatherer, table.gatherer(service, 0));
+    assertNotEquals(gatherer, table.holder(service, 0));
     table.onBeat(gatherer, beat(true, false, 5), 0);
-    assertEquals(gatherer, table.gatherer(service, 0));
+    assertEquals(gatherer, table.holder(service, 0));
     table.onDown(gatherer);
-    assertNotEquals(gatherer, table.gatherer(service, 0));
-    assertEquals("e1", table.gatherer(service, Nanos.ofMillis(1_001)), "all others are silent");
+    assertNotEquals(gatherer, table.holder(service, 0));
+    assertEquals("e1", table.holder(service, Nanos.ofMillis(1_001)), "all others are silent");
   }
 
   @Test
@@ -109,12 +109,68 @@
     assertEquals(Optional.empty(), table.ahead(true, Nanos.ofMillis(1_001)));
   }
 
+  private static Beat beatWithRole(boolean leaving, String role) {
+    return new Beat(true, leaving, 5, 5, Map.of(), Set.of(role));
+  }
+
+  /** Replays a rolling restart: an instance that has come back takes no role from another. */
+  @Test
+  void roleStaysWhereItIsUntilItsHolderLeaves() {
+    FellowTable table = table(1, 5);
+    String service = serviceOfAnother(table);
+    String first = table.holder(service, 0);
+    table.onDown(first);
+    String second = table.holder(service, 0);
+    if (second.equals("e1")) {
+      table.own(beatWithRole(false, service));
+    } else {
+      table.onBeat(second, beatWithRole(false, service), 0);
+    }
+    table.onBeat(first, beat(true, false, 5), 0);
+    assertEquals(second, table.holder(service, 0));
+    if (second.equals("e1")) {
+      table.own(beatWithRole(true, service));
+    } else {
+      table.onBeat(second, beatWithRole(true, service), 0);
+    }
+    assertEquals(first, table.holder(service, 0));
+  }
+
+  @Test
+  void oneOfSeveralHoldersIsAgreedOn() {
+    Set<String> chosen = new HashSet<>();
+    for (int self = 1; self <= 6; self++) {
+      FellowTable table = table(self, 5);
+      for (int holder : new int[] {2, 5}) {
+        if (holder == self) {
+          table.own(beatWithRole(false, "x"));
+        } else {
+          table.onBeat("e" + holder, beatWithRole(false, "x"), 0);
+        }
+      }
+      chosen.add(table.holder("x", 0));
+    }
+    assertEquals(1, chosen.size());
+    assertTrue(Set.of("e2", "e5").containsAll(chosen));
+  }
+
+  /** Replays tvoet scale-1: the gatherer has lost power, and pieces gather unseen. */
+  @Test
+  void waitGrowsWithTheSilenceOfTheGatherer() {
+    FellowTable table = table(1, 5);
+    String service = serviceOfAnother(table);
+    Map<String, QueueWait> waits = Map.of(service, new QueueWait(300, 900));
+    table.onBeat(table.holder(service, 0), new Beat(true, false, 5, 5, waits, Set.of(service)), 0);
+    assertEquals(300, table.queueWait(service, Nanos.ofMillis(400)).millis(false));
+    assertEquals(700, table.queueWait(service, Nanos.ofMillis(900)).millis(false));
+  }
+
   @Test
   void waitsAreThoseOfTheGatherer() {
     FellowTable table = table(1, 5);
-    String gatherer = table.gatherer("x", 0);
+    String gatherer = table.holder("x", 0);
     Map<String, QueueWait> waits = Map.of("x", new QueueWait(300, 900));
-    Beat beat = new Beat(true, false, 5, 5, waits);
+    Beat beat = new Beat(true, false, 5, 5, waits, Set.of());
     if (gatherer.equals("e1")) {
       table.own(beat);
     } else {
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
@@ -77,6 +77,35 @@
     assertEquals(4, gatherer.nextCalls(millis(310)).get(0).pieces().size());
   }
 
+  /** Replays tvoet scale-1: a gatherer takes over, and the room is full of another's results. */
+  @Test
+  void roomThatOthersHaveTakenIsLearnedFromTheReport() {
+    PieceGatherer gatherer = gatherer(8, 400, 1);
+    gatherer.onFreeRoom("r0", 200, 0);
+    submit(gatherer, "a", 2);
+    submit(gatherer, "b", 2);
+    assertEquals(2, gatherer.nextCalls(0).get(0).pieces().size());
+    assertTrue(gatherer.nextCalls(millis(10)).isEmpty());
+  }
+
+  /** Replays a herd kill: pieces and results of instances that are gone would take the room. */
+  @Test
+  void workForAnInstanceThatIsGoneIsDropped() {
+    PieceGatherer gatherer = gatherer(2, ROOMY, 1);
+    submit(gatherer, "a", 2);
+    PieceCall first = gatherer.nextCalls(0).get(0);
+    gatherer.complete(first.number(), allMade(first), "self", millis(300));
+    submit(gatherer, "b", 2);
+    final PieceCall second = gatherer.nextCalls(millis(300)).get(0);
+    submit(gatherer, "c", 2);
+    String origin = first.pieces().get(0).origin();
+    assertEquals(2, gatherer.keptFor(origin).size());
+    assertEquals(2, gatherer.cancelOrigin(origin));
+    var completion = gatherer.complete(second.number(), allMade(second), "self", millis(600));
+    assertEquals(2, completion.unwanted().size());
+    assertTrue(gatherer.nextCalls(millis(600)).isEmpty());
+  }
+
   @Test
   void resultsExpireWhenNobodyReleasesThem() {
     PieceGatherer gatherer = gatherer(8, 400, 1);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -4,11 +4,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.routing.KeyOwner;
 import org.arbutusspar.core.routing.Route;
+import org.arbutusspar.core.routing.RouteKind;
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.io.http.BodyCollector;
 import org.arbutusspar.io.http.HeaderField;
@@ -35,6 +39,9 @@
   /** Time kept back so that the client has its answer before its deadline. */
   private static final long BODY_MARGIN_MILLIS = 40;
 
+  /** A stream with its stages takes about this long; a shorter rest of a shutdown cuts it. */
+  private static final long STREAM_MILLIS = 4_000;
+
   /** When to come back to an instance that has just started or is full, in seconds. */
   private static final String SOON = "0.4";
 
@@ -42,6 +49,8 @@
   private final AtomicInteger active = new AtomicInteger();
   private final AtomicLong heldBytes = new AtomicLong();
   private volatile ServingState state;
+  private final Set<ServedRequest> served = ConcurrentHashMap.newKeySet();
+  private volatile long leaveBy;
   private volatile boolean leaving;
 
   ClientHandler(RequestContext context) {
@@ -52,11 +61,26 @@
     state = fresh;
   }
 
-  /** Makes each answer from now on the last one on its connection. */
-  void leave() {
+  /**
+   * Makes each answer from now on the last one on its connection.
+   *
+   * @param end when the instance ends at the latest
+   */
+  void leave(long end) {
+    leaveBy = end;
     leaving = true;
   }
 
+  /** Refuses the requests that no replica has seen; the instance ends. */
+  void refuseUnsent() {
+    List.copyOf(served).forEach(ServedRequest::refuseUnsent);
+  }
+
+  private boolean endsBefore(Route route) {
+    long left = leaveBy - context.loop().now();
+    return leaving && route.kind() == RouteKind.STREAM && left < Nanos.ofMillis(STREAM_MILLIS);
+  }
+
   /** Returns the number of requests that have not ended. */
   int active() {
     return active.get();
@@ -106,6 +130,10 @@
       refuse(exchange, read.id(), BAD_REQUEST, "piece-counts");
       return;
     }
+    if (endsBefore(route.get())) {
+      refuse(exchange, read.id(), UNAVAILABLE, "leaving");
+      return;
+    }
     if (heldBytes.get() > MAX_HELD_BYTES) {
       refuse(exchange, read.id(), UNAVAILABLE, "too-many-bytes");
       return;
@@ -152,14 +180,16 @@
       long arrivedAt) {
     active.incrementAndGet();
     heldBytes.addAndGet(body.length);
-    ServedRequest served =
+    ServedRequest request =
         new ServedRequest(context, current, read, route, owner, body, exchange, arrivedAt);
+    served.add(request);
     context
         .loop()
         .post(
             () ->
-                served.start(
+                request.start(
                     () -> {
+                      served.remove(request);
                       active.decrementAndGet();
                       heldBytes.addAndGet(-body.length);
                     }));
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlaces.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlaces.java
@@ -1,9 +1,12 @@
 package org.arbutusspar.entry.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
+import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.fellow.FellowTable;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ReplicaBook;
@@ -19,6 +22,9 @@
   /** Longest wait for the instance that places. */
   private static final long ANSWER_MILLIS = 60;
 
+  /** An instance has the role of a placer until it has placed nothing for this long. */
+  private static final long ROLE_MILLIS = 5_000;
+
   /** Prefix of the name by which the instance that places for a service is chosen. */
   private static final String ROLE = "place/";
 
@@ -27,6 +33,7 @@
   private final ReplicaBook replicas;
   private final DeadlineLoop loop;
   private final Map<String, EnginePlacer> placers = new HashMap<>();
+  private final Map<String, Long> usedAt = new HashMap<>();
   private final Map<String, Asked> asked = new HashMap<>();
   private final Map<String, String> placedBy = new HashMap<>();
 
@@ -37,6 +44,18 @@
     this.loop = loop;
   }
 
+  /** Returns the roles of a placer that this instance has had work in lately. */
+  Set<String> roles() {
+    Set<String> roles = new HashSet<>();
+    usedAt.forEach(
+        (service, at) -> {
+          if (loop.now() - at < Nanos.ofMillis(ROLE_MILLIS)) {
+            roles.add(ROLE + service);
+          }
+        });
+    return roles;
+  }
+
   /** Takes a new list of replicas. */
   void onReplicas() {
     placers.forEach((service, placer) -> placer.replicas(replicas.usable(service)));
@@ -53,11 +72,12 @@
       String service,
       EnginePlacer.EngineRequest request,
       Consumer<Optional<UpstreamReplica>> found) {
-    String placer = fellows.gatherer(ROLE + service, loop.now());
+    String placer = fellows.holder(ROLE + service, loop.now());
     boolean sent =
         !placer.equals(fellows.self().name())
             && net.send(placer, new FellowMessage.Place(service, request));
     if (!sent) {
+      usedAt.put(service, loop.now());
       placedBy.put(request.id(), fellows.self().name());
       found.accept(placer(service).place(request, loop.now()));
       return;
@@ -111,6 +131,7 @@
   /** Takes a message of another instance. */
   void onMessage(String name, FellowMessage message) {
     if (message instanceof FellowMessage.Place place) {
+      usedAt.put(place.service(), loop.now());
       Optional<UpstreamReplica> replica =
           placer(place.service()).place(place.request(), loop.now());
       String id = replica.map(UpstreamReplica::id).orElse("");
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/FellowNet.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/FellowNet.java
@@ -27,7 +27,7 @@
   static final long BEAT_MILLIS = 400;
 
   /** An instance that has been silent for this long does not count as live. */
-  static final long SILENCE_MILLIS = 1_300;
+  static final long SILENCE_MILLIS = 1_000;
 
   /** An instance whose name comes later dials after this many beats without a connection. */
   private static final int PATIENT_BEATS = 3;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -54,6 +54,9 @@
   /** Shutdown takes at least this long, so that clients learn of other addresses. */
   private static final long LEAVE_MILLIS = 3_000;
 
+  /** Time for the last answers to be written before the instance ends. */
+  private static final long LAST_ANSWERS_MILLIS = 100;
+
   /** Time kept back of the time that a shutdown may take. */
   private static final long EXIT_MARGIN_MILLIS = 700;
 
@@ -168,6 +171,10 @@
         "arbutusspar_configuration_offset",
         "Offset of the configuration in force",
         () -> stateOffset);
+    metrics.gauge(
+        "arbutusspar_waiting_pieces",
+        "Pieces that wait here for a call, for the requests of all instances",
+        this::waitingPieces);
     metrics.gauge(
         "arbutusspar_live_instances",
         "Instances heard of lately, this one included",
@@ -286,7 +293,10 @@
   }
 
   private void updateBeat() {
-    Beat fresh = new Beat(ready, leaving, configuration.offset(), listed.offset(), pieces.waits());
+    Set<String> roles = new HashSet<>(pieces.roles());
+    roles.addAll(engines.roles());
+    Beat fresh =
+        new Beat(ready, leaving, configuration.offset(), listed.offset(), pieces.waits(), roles);
     Beat before = fellows.own();
     fellows.own(fresh);
     if (before.ready() != fresh.ready() || before.leaving() != fresh.leaving()) {
@@ -325,8 +335,8 @@
     }
     leaving = true;
     log.write("stop", "signal", signal, "active", clients.active());
-    clients.leave();
     long from = loop.now();
+    clients.leave(from + Nanos.ofMillis(settings.bounds().shutdownMillis() - EXIT_MARGIN_MILLIS));
     loop.post(
         () -> {
           updateBeat();
@@ -339,13 +349,25 @@
     long elapsed = (long) Nanos.toMillis(loop.now() - from);
     long longest = settings.bounds().shutdownMillis() - EXIT_MARGIN_MILLIS;
     boolean idle = clients.active() == 0 && pieces.isIdle();
-    if (elapsed >= longest || idle && elapsed >= Math.min(LEAVE_MILLIS, longest)) {
-      log.write("stopped", "active", clients.active(), "elapsed_ms", elapsed);
-      List.of(configuration, listed, instances).forEach(Feed::stop);
-      stopped.countDown();
-      return;
+    if (elapsed >= longest) {
+      clients.refuseUnsent();
+      loop.after(LAST_ANSWERS_MILLIS, () -> end(elapsed));
+    } else if (idle && elapsed >= Math.min(LEAVE_MILLIS, longest)) {
+      end(elapsed);
+    } else {
+      loop.after(LEAVE_STEP_MILLIS, () -> awaitEnd(from));
     }
-    loop.after(LEAVE_STEP_MILLIS, () -> awaitEnd(from));
+  }
+
+  private void end(long elapsed) {
+    log.write("stopped", "active", clients.active(), "elapsed_ms", elapsed);
+    List.of(configuration, listed, instances).forEach(Feed::stop);
+    stopped.countDown();
+  }
+
+  /** Returns the number of pieces that wait in the queues of this instance. */
+  int waitingPieces() {
+    return pieces.waiting();
   }
 
   /** Returns the metrics in the Prometheus text format. */
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -3,13 +3,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.fellow.FellowTable;
 import org.arbutusspar.core.placement.ReplicaBook;
+import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.PieceLimits;
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.core.stage.Piece;
@@ -43,6 +48,15 @@
 
   private static final long EXPIRY_MILLIS = 100;
 
+  /** An instance has the role of a gatherer until it has had no pieces for this long. */
+  private static final long ROLE_MILLIS = 5_000;
+
+  /** A gatherer that had no pieces for this long asks the replicas how much room they have. */
+  private static final long STALE_MILLIS = 2_000;
+
+  /** An instance whose connection broke and that has not come back within this time is gone. */
+  private static final long GONE_MILLIS = 1_000;
+
   private final FellowTable fellows;
   private final FellowNet net;
   private final ReplicaBook replicas;
@@ -50,7 +64,8 @@
   private final DeadlineLoop loop;
   private final EventLog log;
   private final String self;
-  private final Map<String, PieceGatherer> gatherers = new HashMap<>();
+  private final Map<String, PieceGatherer> gatherers = new ConcurrentHashMap<>();
+  private final Map<String, Long> usedAt = new HashMap<>();
   private final Map<PieceId, Pending> pending = new LinkedHashMap<>();
   private final List<String> toRelease = new ArrayList<>();
   private boolean releasing;
@@ -89,7 +104,7 @@
 
   /** Has pieces made; the requester is told what becomes of each. */
   void submit(String service, List<Piece> pieces, Requester requester) {
-    String gatherer = fellows.gatherer(service, loop.now());
+    String gatherer = fellows.holder(service, loop.now());
     pieces.forEach(p -> pending.put(p.id(), new Pending(p, service, requester, gatherer)));
     hand(service, gatherer, pieces);
   }
@@ -188,12 +203,23 @@
     return waits;
   }
 
+  /** Returns the services whose pieces this instance has gathered lately. */
+  Set<String> roles() {
+    Set<String> roles = new HashSet<>();
+    for (String service : gatherers.keySet()) {
+      if (loop.now() - usedAt.get(service) < Nanos.ofMillis(ROLE_MILLIS)) {
+        roles.add(service);
+      }
+    }
+    return roles;
+  }
+
   /** Takes a message of another instance. */
   void onMessage(String name, FellowMessage message) {
     if (message instanceof FellowMessage.Pieces pieces) {
       gather(pieces.service(), pieces.pieces());
     } else if (message instanceof FellowMessage.Outcomes outcomes) {
-      outcomes.outcomes().forEach(this::onOutcome);
+      outcomes.outcomes().forEach(outcome -> onOutcomeFrom(name, outcome));
     } else if (message instanceof FellowMessage.Cancel cancel) {
       cancelGathered(cancel.requestId());
     } else if (message instanceof FellowMessage.Release release) {
@@ -201,30 +227,52 @@
     }
   }
 
-  /** Hands pieces that an instance gathered to another one, since it is not reached any more. */
+  /**
+   * Takes the loss of the connection to an instance: the pieces that it gathered go to another one,
+   * and its own pieces are dropped, since it has lost them or hands them to another one as well.
+   */
   void onDown(String name) {
     List<Pending> orphans =
         pending.values().stream().filter(each -> each.gatherer.equals(name)).toList();
+    move(name, orphans);
+    for (PieceGatherer gatherer : gatherers.values()) {
+      gatherer.cancelOrigin(name);
+      pump(gatherer);
+    }
+    Optional<Long> incarnation = fellows.incarnation(name);
+    loop.after(GONE_MILLIS, () -> releaseIfGone(name, incarnation));
+  }
+
+  private void releaseIfGone(String name, Optional<Long> incarnation) {
+    if (fellows.isLive(name, loop.now()) && fellows.incarnation(name).equals(incarnation)) {
+      return;
+    }
+    List<String> handles =
+        gatherers.values().stream().flatMap(g -> g.keptFor(name).stream()).toList();
+    if (!handles.isEmpty()) {
+      log.write("results-orphaned", "fellow", name, "results", handles.size());
+      releaseHere(handles);
+    }
+  }
+
+  private void move(String from, List<Pending> pieces) {
     Map<String, List<Piece>> byService = new HashMap<>();
-    for (Pending orphan : orphans) {
-      byService.computeIfAbsent(orphan.service, s -> new ArrayList<>()).add(orphan.piece);
+    for (Pending each : pieces) {
+      byService.computeIfAbsent(each.service, s -> new ArrayList<>()).add(each.piece);
     }
-    byService.forEach(
-        (service, pieces) -> {
-          String gatherer = fellows.gatherer(service, loop.now());
-          pieces.forEach(piece -> pending.get(piece.id()).gatherer = gatherer);
-          log.write(
-              "pieces-moved",
-              "service",
-              service,
-              "from",
-              name,
-              "to",
-              gatherer,
-              "pieces",
-              pieces.size());
-          hand(service, gatherer, pieces);
-        });
+    byService.forEach((service, list) -> moveTo(nextHolder(service, from), from, service, list));
+  }
+
+  /** Returns the instance that gathers now; this one if that is still the one that gave up. */
+  private String nextHolder(String service, String from) {
+    String holder = fellows.holder(service, loop.now());
+    return holder.equals(from) ? self : holder;
+  }
+
+  private void moveTo(String to, String from, String service, List<Piece> pieces) {
+    pieces.forEach(piece -> pending.get(piece.id()).gatherer = to);
+    log.write("pieces-moved", "service", service, "from", from, "to", to, "pieces", pieces.size());
+    hand(service, to, pieces);
   }
 
   private void gather(String service, List<Piece> pieces) {
@@ -241,10 +289,48 @@
       gatherer.replicas(replicas.usable(service));
       gatherers.put(service, gatherer);
     }
+    Long before = usedAt.put(service, loop.now());
+    if (before == null || loop.now() - before > Nanos.ofMillis(STALE_MILLIS)) {
+      askForRoom(gatherer);
+    }
     pieces.forEach(gatherer::submit);
     pump(gatherer);
   }
 
+  private void askForRoom(PieceGatherer gatherer) {
+    for (UpstreamReplica replica : replicas.usable(gatherer.service())) {
+      client
+          .fetch("report", PieceCalls.roomQuestion(replica.endpoint()))
+          .whenComplete((reply, failure) -> loop.post(() -> onRoom(gatherer, replica, reply)));
+    }
+  }
+
+  private void onRoom(PieceGatherer gatherer, UpstreamReplica replica, RawReply reply) {
+    OptionalLong free = reply == null ? OptionalLong.empty() : PieceCalls.freeBytes(reply);
+    log.write(
+        "room",
+        "service",
+        gatherer.service(),
+        "replica",
+        replica.id(),
+        "free_bytes",
+        free.isPresent() ? free.getAsLong() : "unknown");
+    free.ifPresent(bytes -> gatherer.onFreeRoom(replica.id(), bytes, loop.now()));
+  }
+
+  /** Hands the waiting pieces back if another instance gathers now, so that one queue has all. */
+  private void handOver(PieceGatherer gatherer) {
+    String holder = fellows.holder(gatherer.service(), loop.now());
+    if (holder.equals(self) || gatherer.waiting() == 0) {
+      return;
+    }
+    List<Piece> waiting = gatherer.takeWaiting();
+    log.write(
+        "queue-handed-over", "service", gatherer.service(), "to", holder, "pieces", waiting.size());
+    tellOrigins(
+        waiting, waiting.stream().map(p -> PieceOutcome.none(p.id(), PieceOutcome.MOVED)).toList());
+  }
+
   private void pump(PieceGatherer gatherer) {
     long now = loop.now();
     for (Piece late : gatherer.expire(now)) {
@@ -263,6 +349,7 @@
           EXPIRY_MILLIS,
           () -> {
             expiring = false;
+            gatherers.values().forEach(this::handOver);
             gatherers.values().forEach(this::pump);
           });
     }
@@ -332,12 +419,21 @@
 
   private void tell(String origin, List<PieceOutcome> outcomes) {
     if (origin.equals(self)) {
-      outcomes.forEach(this::onOutcome);
+      outcomes.forEach(outcome -> onOutcomeFrom(self, outcome));
     } else if (!net.send(origin, new FellowMessage.Outcomes(outcomes))) {
       outcomes.forEach(outcome -> outcome.result().ifPresent(r -> release(List.of(r))));
     }
   }
 
+  private void onOutcomeFrom(String gatherer, PieceOutcome outcome) {
+    Pending waiting = pending.get(outcome.id());
+    if (waiting != null && outcome.reason().equals(PieceOutcome.MOVED)) {
+      move(gatherer, List.of(waiting));
+    } else {
+      onOutcome(outcome);
+    }
+  }
+
   private void onOutcome(PieceOutcome outcome) {
     Pending each = pending.remove(outcome.id());
     if (each == null) {
@@ -347,6 +443,11 @@
     each.requester.onPiece(outcome);
   }
 
+  /** Returns the number of pieces that wait for a call; may be called on any thread. */
+  int waiting() {
+    return gatherers.values().stream().mapToInt(PieceGatherer::waiting).sum();
+  }
+
   /** Returns whether nothing waits or is being made, here or elsewhere. */
   boolean isIdle() {
     return pending.isEmpty()
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -322,6 +322,14 @@
     }
   }
 
+  /** Refuses the request if no replica has seen it: the instance ends before it would be served. */
+  void refuseUnsent() {
+    boolean unsent = attempt == null || !attempt.isActive() || attempt.revoke();
+    if (!ended && !mayHaveRun && unsent && exchange.isOpen()) {
+      answer(UNAVAILABLE, "leaving");
+    }
+  }
+
   private void onClientGone() {
     if (!ended) {
       exchange.cut("client left");
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -92,6 +92,11 @@
   }
 
   Instance startInstance(String name, String address, List<Endpoint> seeds) throws IOException {
+    return startInstance(name, address, seeds, 8_000);
+  }
+
+  Instance startInstance(String name, String address, List<Endpoint> seeds, long shutdownMillis)
+      throws IOException {
     PlatformSettings settings =
         new PlatformSettings(
             name,
@@ -104,7 +109,7 @@
             Optional.empty(),
             seeds,
             storeEndpoint,
-            new PlatformSettings.Bounds(8_000, 2_000, 0.2, 10_000, 50, 5_000));
+            new PlatformSettings.Bounds(shutdownMillis, 2_000, 0.2, 10_000, 50, 5_000));
     return new Instance(keep(Gateway.start(settings)), settings);
   }
 
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayTest.java
@@ -7,10 +7,13 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.stream.IntStream;
+import org.arbutusspar.core.route.Rendezvous;
 import org.arbutusspar.io.http.RawClient;
 import org.arbutusspar.io.http.RawReply;
 import org.arbutusspar.platform.standin.ReplicaStandin;
@@ -246,6 +249,54 @@
     instance.gateway().await();
   }
 
+  /** Replays incident inc-0cc2: requests in their stages were cut at the end of a shutdown. */
+  @Test
+  void requestsThatNoReplicaHasSeenAreRefusedAtTheEndOfShutdown()
+      throws IOException, InterruptedException {
+    Instance instance = startInstance("e-1", FIRST, List.of(), 1_500);
+    await(() -> isReady(instance));
+    await(() -> call(instance, "/s/x", "w" + System.nanoTime(), "key").status() == 200);
+    worker.pieceMillis(3_000);
+    var waiting = send(instance, "/s/x", "a", "key");
+    sleep(50);
+    instance.gateway().leave("test");
+    RawReply late = call(instance, "/s/x", "late", "key");
+    assertEquals(503, late.status(), "a stream does not end within the rest of the shutdown");
+    RawReply reply = waiting.join();
+    assertEquals(503, reply.status());
+    assertTrue(reply.field("Retry-After").isPresent());
+    instance.gateway().await();
+    assertTrue(engine.runs().stream().noneMatch(run -> "a".equals(run.get("X-Attempt-Id"))));
+  }
+
+  /** Replays a rolling restart under load: the queue of a gatherer that leaves moves at once. */
+  @Test
+  void queueMovesWhenItsGathererLeaves() throws IOException {
+    String holder =
+        IntStream.range(2, 50)
+            .mapToObj(i -> "e-" + i)
+            .filter(
+                name -> Rendezvous.top(List.of("e-1", name), n -> n, "worker", 1).contains(name))
+            .findFirst()
+            .orElseThrow();
+    final Instance first = startReady();
+    final Instance second = startInstance(holder, SECOND, List.of(first.settings().links()));
+    await(() -> addresses(first).contains(second.settings().clients().toString()));
+    assertEquals(200, call(first, "/s/x", "warm-s", "key").status());
+    worker.pieceMillis(250);
+    List<CompletableFuture<RawReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      replies.add(send(first, "/s/x", "q" + i, "key"));
+    }
+    sleep(100);
+    second.gateway().leave("test");
+    sleep(300);
+    assertEquals(0, second.gateway().waitingPieces());
+    for (CompletableFuture<RawReply> reply : replies) {
+      assertEquals(200, reply.join().status());
+    }
+  }
+
   @Test
   void instanceThatIsCutOffFromTheStoreLearnsFromFellow() throws IOException {
     Instance first = startReady();
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FellowCodec.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.arbutusspar.core.fellow.Beat;
 import org.arbutusspar.core.fellow.Fellow;
 import org.arbutusspar.core.id.DataCentre;
@@ -168,6 +169,7 @@
       packer.packString(entry.getKey()).packInt(entry.getValue().inTimeMillis());
       packer.packInt(entry.getValue().lateMillis());
     }
+    packTexts(packer, List.copyOf(beat.roles()));
   }
 
   private static Beat beat(MessageUnpacker unpacker) throws IOException {
@@ -176,7 +178,8 @@
         unpacker.unpackBoolean(),
         unpacker.unpackLong(),
         unpacker.unpackLong(),
-        waits(unpacker));
+        waits(unpacker),
+        Set.copyOf(list(unpacker, MessageUnpacker::unpackString)));
   }
 
   private static Map<String, QueueWait> waits(MessageUnpacker unpacker) throws IOException {
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/FellowCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/FellowCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.arbutusspar.core.fellow.Beat;
@@ -45,7 +46,8 @@
   void everyMessageIsReadAsItWasWritten() throws IOException {
     assertSame(new FellowMessage.Hello(FELLOW, List.of(FELLOW)));
     assertSame(
-        new FellowMessage.Alive(new Beat(true, false, 3, 9, Map.of("s", new QueueWait(4, 5)))));
+        new FellowMessage.Alive(
+            new Beat(true, false, 3, 9, Map.of("s", new QueueWait(4, 5)), Set.of("s"))));
     assertSame(
         new FellowMessage.Pieces(
             "s", List.of(piece(5, Optional.empty()), piece(-5, Optional.of(DataCentre.of("b"))))));
