Releases left to a lost gatherer are repeated; waits follow what is started

All four replicas reported 0 bytes free at 8.8 s, and their rooms stayed full until the results expired; the queue grew to 645 pieces while admission expected 0.5 s of waiting, since it reckoned with calls one after the other. Change: releases left to an instance are remembered for 1.8 s and repeated when it is lost. The estimate of waiting goes by the pieces started in the last second if some waited all the while. Until a new gatherer has told a wait, the last one of its predecessor counts, and grows. Ruled out: releasing every result by its owner directly; the gatherer needs to know when room is free.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/FellowTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -23,9 +24,13 @@
   /** A figure of this age is up to date: beats come every 0.4 s, at times a little later. */
   private static final long FRESH_NANOS = Nanos.ofMillis(500);
 
+  /** The figure of a former holder counts for this long; a new one tells its own before. */
+  private static final long RECENT_NANOS = Nanos.ofMillis(3_000);
+
   private final Fellow self;
   private final long silenceNanos;
   private final Map<String, Entry> entries = new TreeMap<>();
+  private final Map<String, Told> lastTold = new HashMap<>();
   private Beat own = Beat.UNKNOWN;
 
   private FellowTable(Fellow self, long silenceNanos) {
@@ -91,11 +96,20 @@
     Entry entry = entries.get(name);
     if (entry != null) {
       entry.beat = beat;
+      noteWaits(beat, now);
       entry.heardAt = now;
       entry.connected = true;
     }
   }
 
+  private void noteWaits(Beat beat, long now) {
+    for (String role : beat.roles()) {
+      if (beat.waits().containsKey(role)) {
+        lastTold.put(role, new Told(beat.waits().get(role), now));
+      }
+    }
+  }
+
   /** Takes the loss of the link to an instance. */
   public void onDown(String name) {
     Entry entry = entries.get(name);
@@ -170,7 +184,8 @@
 
   /**
    * Returns how long a new piece of a service waits where such pieces are gathered. While that
-   * instance is silent, pieces gather unseen, so its last figure grows with its age.
+   * instance is silent, pieces gather unseen, so its last figure grows with its age; the same holds
+   * for the last figure of its predecessor until it tells one.
    *
    * @param service name of the service, not null
    * @param now current time
@@ -178,12 +193,14 @@
    */
   public QueueWait queueWait(String service, long now) {
     Entry entry = entries.get(holder(service, now));
-    if (entry == null) {
-      return own.waits().getOrDefault(service, QueueWait.NONE);
+    Beat beat = entry == null ? own : entry.beat;
+    if (beat.waits().containsKey(service)) {
+      long overdue = entry == null ? 0 : Math.max(0, now - entry.heardAt - FRESH_NANOS);
+      return beat.waits().get(service).plus((int) Nanos.toMillis(overdue));
     }
-    long overdue = Math.max(0, now - entry.heardAt - FRESH_NANOS);
-    QueueWait told = entry.beat.waits().getOrDefault(service, QueueWait.NONE);
-    return told.plus((int) Nanos.toMillis(overdue));
+    Told last = lastTold.get(service);
+    boolean recent = last != null && now - last.at() < RECENT_NANOS;
+    return recent ? last.queueWait().plus((int) Nanos.toMillis(now - last.at())) : QueueWait.NONE;
   }
 
   /**
@@ -229,6 +246,8 @@
     return fellows.stream().map(Fellow::name).toList();
   }
 
+  private record Told(QueueWait queueWait, long at) {}
+
   private static final class Entry {
     private final Fellow fellow;
     private Beat beat = Beat.UNKNOWN;
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -73,6 +73,8 @@
   private PieceLimits limits;
   private long lastNumber;
 
+  private final StartRate startRate = new StartRate();
+
   /** Mean number of pieces of the calls that left pieces waiting. */
   private double callSize;
 
@@ -208,7 +210,9 @@
         break;
       }
       next.add(call.get());
+      startRate.started(call.get().pieces().size(), now);
     }
+    startRate.backlog(!queue.isEmpty(), now);
     return next;
   }
 
@@ -502,7 +506,8 @@
             .filter(worker -> worker.listed)
             .mapToDouble(worker -> limits.slots() * callSize / seconds(callSize) / worker.ratio)
             .sum();
-    double millisPerPiece = 1_000.0 / Math.max(MIN_PIECES_PER_SECOND, perSecond);
+    double reached = Math.min(perSecond, startRate.perSecond(now).orElse(perSecond));
+    double millisPerPiece = 1_000.0 / Math.max(MIN_PIECES_PER_SECOND, reached);
     double untilFree = limits.millis(limits.batch() / 2) / Math.max(1, workers.size());
     long inTime = queue.values().stream().filter(p -> isInTime(p, now)).count();
     return new QueueWait(
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/SentReleases.java
@@ -0,0 +1,77 @@
+package org.arbutusspar.core.stage;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.lang3.Validate;
+
+/**
+ * The releases of results that were left to other instances lately.
+ *
+ * <p>Load pattern: the instance that gathers loses power. For about a second its fellows go on
+ * telling it which results to release; all of that is lost, and the memory of the replicas stays
+ * full until the results expire. Its fellows release them once they know.
+ */
+public final class SentReleases {
+
+  private final long memoryNanos;
+  private final Map<String, Deque<Sent>> byInstance = new HashMap<>();
+
+  private SentReleases(long memoryNanos) {
+    this.memoryNanos = memoryNanos;
+  }
+
+  /**
+   * Returns an empty memory.
+   *
+   * @param memoryNanos how long a release is remembered, over 0
+   * @return the memory
+   */
+  public static SentReleases create(long memoryNanos) {
+    Validate.isTrue(memoryNanos > 0, "memoryNanos must be positive");
+    return new SentReleases(memoryNanos);
+  }
+
+  /**
+   * Notes what an instance has been told to release.
+   *
+   * @param instance name of the instance, not null
+   * @param handles handles of the results, not null
+   * @param now current time
+   */
+  public void sent(String instance, Collection<String> handles, long now) {
+    Deque<Sent> sent = byInstance.computeIfAbsent(instance, name -> new ArrayDeque<>());
+    forget(sent, now);
+    sent.add(new Sent(now, List.copyOf(handles)));
+  }
+
+  /**
+   * Takes the loss of an instance.
+   *
+   * @param instance its name, not null
+   * @param now current time
+   * @return the handles that it may not have released
+   */
+  public List<String> takeLost(String instance, long now) {
+    Deque<Sent> sent = byInstance.remove(instance);
+    if (sent == null) {
+      return List.of();
+    }
+    forget(sent, now);
+    List<String> handles = new ArrayList<>();
+    sent.forEach(each -> handles.addAll(each.handles()));
+    return handles;
+  }
+
+  private void forget(Deque<Sent> sent, long now) {
+    while (!sent.isEmpty() && now - sent.getFirst().at() > memoryNanos) {
+      sent.removeFirst();
+    }
+  }
+
+  private record Sent(long at, List<String> handles) {}
+}
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/fellow/FellowTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/fellow/FellowTableTest.java
@@ -165,6 +165,19 @@
     assertEquals(700, table.queueWait(service, Nanos.ofMillis(900)).millis(false));
   }
 
+  @Test
+  void waitOfAFormerGathererCountsUntilTheNextTellsItsOwn() {
+    FellowTable table = table(1, 5);
+    String service = serviceOfAnother(table);
+    String first = table.holder(service, 0);
+    Map<String, QueueWait> waits = Map.of(service, new QueueWait(300, 900));
+    table.onBeat(first, new Beat(true, false, 5, 5, waits, Set.of(service)), 0);
+    table.onDown(first);
+    assertNotEquals(first, table.holder(service, 0));
+    assertEquals(500, table.queueWait(service, Nanos.ofMillis(200)).millis(false));
+    assertEquals(0, table.queueWait(service, Nanos.ofMillis(3_500)).millis(false));
+  }
+
   @Test
   void waitsAreThoseOfTheGatherer() {
     FellowTable table = table(1, 5);
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
@@ -106,6 +106,25 @@
     assertTrue(gatherer.nextCalls(millis(600)).isEmpty());
   }
 
+  /** Replays tvoet scale-1: rooms are full, replicas idle, and the queue does not get shorter. */
+  @Test
+  void waitFollowsWhatIsStartedWhereRoomBinds() {
+    PieceGatherer gatherer = gatherer(8, 400, 1);
+    for (int request = 0; request < 10; request++) {
+      submit(gatherer, "q" + request, 4);
+    }
+    long now = 0;
+    for (int round = 0; round < 4; round++) {
+      List<PieceCall> calls = gatherer.nextCalls(now);
+      long ended = now + millis(280);
+      calls.forEach(c -> gatherer.complete(c.number(), allMade(c), "self", ended));
+      now += millis(500);
+      gatherer.nextCalls(now);
+    }
+    int wait = gatherer.queueWait(now).millis(true);
+    assertTrue(wait > 5_000, "4 pieces in 4 s, 36 wait: " + wait + " ms");
+  }
+
   @Test
   void resultsExpireWhenNobodyReleasesThem() {
     PieceGatherer gatherer = gatherer(8, 400, 1);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -24,6 +24,7 @@
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
 import org.arbutusspar.core.stage.QueueWait;
+import org.arbutusspar.core.stage.SentReleases;
 import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.core.stage.UrgencyOrder;
 import org.arbutusspar.io.EventLog;
@@ -68,6 +69,8 @@
   private final Map<String, Long> usedAt = new HashMap<>();
   private final Map<PieceId, Pending> pending = new LinkedHashMap<>();
   private final List<String> toRelease = new ArrayList<>();
+  private final SentReleases sentReleases =
+      SentReleases.create(Nanos.ofMillis(FellowNet.SILENCE_MILLIS + 2 * FellowNet.BEAT_MILLIS));
   private boolean releasing;
   private boolean expiring;
   private ServingState state;
@@ -152,6 +155,8 @@
         (name, handles) -> {
           if (name.equals(self) || !net.send(name, new FellowMessage.Release(handles))) {
             releaseHere(handles);
+          } else {
+            sentReleases.sent(name, handles, loop.now());
           }
         });
   }
@@ -235,6 +240,11 @@
     List<Pending> orphans =
         pending.values().stream().filter(each -> each.gatherer.equals(name)).toList();
     move(name, orphans);
+    List<String> unreleased = sentReleases.takeLost(name, loop.now());
+    if (!unreleased.isEmpty()) {
+      log.write("releases-repeated", "fellow", name, "results", unreleased.size());
+      releaseHere(unreleased);
+    }
     for (PieceGatherer gatherer : gatherers.values()) {
       gatherer.cancelOrigin(name);
       pump(gatherer);
