Late work that will not be reached is given up at once; forecasts learn from failures

Forecasts learned only from requests whose stages were done, the ones that had been quick. Change: a piece's deadline is when its inputs expire, so that no call is made for it. A late piece is given up if twice the rate at which the last second left time for late pieces does not reach it. Waits of late pieces are estimated by that rate. A request whose stages failed teaches its forecast.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/ForecastCorrection.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/ForecastCorrection.java
@@ -26,6 +26,18 @@
     return forecastMillis * factor;
   }
 
+  /**
+   * Learns from a request whose stages failed: they would have taken longer than they had.
+   *
+   * @param forecastMillis the forecast before its correction, positive
+   * @param spentMillis the time that had passed
+   */
+  public void learnFailed(double forecastMillis, double spentMillis) {
+    if (spentMillis > apply(forecastMillis)) {
+      learn(forecastMillis, spentMillis);
+    }
+  }
+
   /**
    * Learns from a request whose stages are done.
    *
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -55,9 +56,15 @@
 
   private static final double MIN_RATIO = 0.6;
 
+  /** Late pieces are given up only if twice the rate of the last second would not do. */
+  private static final double LATE_RATE_DOUBT = 2;
+
   /** Keeps forecasts finite where no replica is listed. */
   private static final double MIN_PIECES_PER_SECOND = 1;
 
+  /** Bound of a forecast; no client waits for so long. */
+  private static final double MAX_WAIT_MILLIS = 60_000;
+
   /** Rest of a replica after a failed call, about the fixed time of a call; doubled each time. */
   private static final long FIRST_PAUSE_MILLIS = 250;
 
@@ -70,6 +77,7 @@
   private final Map<Long, PieceCall> calls = new HashMap<>();
   private final Map<String, Kept> kept = new HashMap<>();
   private final Set<PieceId> cancelledInCall = new HashSet<>();
+  private final List<Piece> arrived = new ArrayList<>();
   private PieceLimits limits;
   private long lastNumber;
 
@@ -129,6 +137,7 @@
   public void submit(Piece piece) {
     cancelledInCall.remove(piece.id());
     queue.put(piece.id(), piece);
+    arrived.add(piece);
   }
 
   /**
@@ -183,18 +192,41 @@
   }
 
   /**
-   * Removes the waiting pieces whose results would come too late.
+   * Removes the waiting pieces whose results would come too late, and those of late requests that
+   * will not have been started by then: each second, so many of them are started as in the last.
    *
    * @param now current time
    * @return the removed pieces
    */
   public List<Piece> expire(long now) {
     List<Piece> late =
-        queue.values().stream().filter(piece -> now - piece.deadline() >= 0).toList();
+        new ArrayList<>(
+            queue.values().stream().filter(piece -> now - piece.deadline() >= 0).toList());
     late.forEach(piece -> queue.remove(piece.id()));
+    startRate.latePerSecond(now).ifPresent(rate -> late.addAll(takeHopeless(rate, now)));
     return late;
   }
 
+  private List<Piece> takeHopeless(double perSecond, long now) {
+    List<Piece> behind =
+        queue.values().stream()
+            .filter(piece -> !isInTime(piece, now))
+            .sorted(order.at(now))
+            .toList();
+    List<Piece> hopeless = new ArrayList<>();
+    double rate = Math.max(MIN_PIECES_PER_SECOND, perSecond * LATE_RATE_DOUBT);
+    int ahead = 0;
+    for (Piece piece : behind) {
+      if (ahead / rate * 1_000 > Nanos.toMillis(piece.deadline() - now)) {
+        hopeless.add(piece);
+      } else {
+        ahead++;
+      }
+    }
+    hopeless.forEach(piece -> queue.remove(piece.id()));
+    return hopeless;
+  }
+
   /**
    * Returns the calls to make now; they count as made.
    *
@@ -202,6 +234,8 @@
    * @return the calls
    */
   public List<PieceCall> nextCalls(long now) {
+    startRate.arrivedInTime((int) arrived.stream().filter(p -> isInTime(p, now)).count(), now);
+    arrived.clear();
     List<PieceCall> next = new ArrayList<>();
     kept.values().removeIf(result -> dropIfExpired(result, now));
     while (!queue.isEmpty()) {
@@ -210,7 +244,9 @@
         break;
       }
       next.add(call.get());
-      startRate.started(call.get().pieces().size(), now);
+      List<Piece> pieces = call.get().pieces();
+      int late = (int) pieces.stream().filter(piece -> !isInTime(piece, now)).count();
+      startRate.started(pieces.size(), late, now);
     }
     startRate.backlog(!queue.isEmpty(), now);
     return next;
@@ -510,9 +546,18 @@
     double millisPerPiece = 1_000.0 / Math.max(MIN_PIECES_PER_SECOND, reached);
     double untilFree = limits.millis(limits.batch() / 2) / Math.max(1, workers.size());
     long inTime = queue.values().stream().filter(p -> isInTime(p, now)).count();
+    double late = (queue.size() - inTime) * latePieceMillis(millisPerPiece, now);
     return new QueueWait(
         (int) (untilFree + inTime * millisPerPiece),
-        (int) (untilFree + queue.size() * millisPerPiece));
+        (int) Math.min(MAX_WAIT_MILLIS, untilFree + inTime * millisPerPiece + late));
+  }
+
+  /** Returns the time between starts of late pieces, which have what those in time leave. */
+  private double latePieceMillis(double millisPerPiece, long now) {
+    OptionalDouble perSecond = startRate.latePerSecond(now);
+    return perSecond.isPresent()
+        ? Math.max(millisPerPiece, 1_000 / Math.max(MIN_PIECES_PER_SECOND, perSecond.getAsDouble()))
+        : millisPerPiece;
   }
 
   private double seconds(double pieces) {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StartRate.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StartRate.java
@@ -6,7 +6,7 @@
 import org.arbutusspar.core.Nanos;
 
 /**
- * How many pieces a gatherer starts in a second while others wait.
+ * How many pieces a gatherer starts in a second while others wait, and how many arrive.
  *
  * <p>Load pattern: results fill the memory of the replicas. The replicas are idle then, so that the
  * time of a call says nothing about how fast the queue gets shorter; what has been started lately
@@ -17,8 +17,12 @@
   /** A second holds three rounds of calls of a stage, and follows a change soon enough. */
   private static final long WINDOW_NANOS = Nanos.ofMillis(1_000);
 
-  private final Deque<Start> starts = new ArrayDeque<>();
-  private long pieces;
+  private static final double WINDOW_SECONDS = Nanos.toMillis(WINDOW_NANOS) / 1_000;
+
+  private final Deque<Change> changes = new ArrayDeque<>();
+  private long started;
+  private long startedLate;
+  private long arrivedInTime;
   private boolean backlogged;
   private long backloggedSince;
 
@@ -30,22 +34,58 @@
     backlogged = waiting;
   }
 
-  /** Notes that pieces have been started. */
-  void started(int count, long now) {
-    starts.add(new Start(now, count));
-    pieces += count;
+  /**
+   * Notes that pieces have been started.
+   *
+   * @param count number of pieces
+   * @param late how many of them belong to requests that cannot be in time any more
+   * @param now current time
+   */
+  void started(int count, int late, long now) {
+    add(new Change(now, count, late, 0));
+  }
+
+  /** Notes that pieces of requests which can still be in time have arrived. */
+  void arrivedInTime(int count, long now) {
+    add(new Change(now, 0, 0, count));
+  }
+
+  private void add(Change change) {
+    changes.add(change);
+    count(change, 1);
+  }
+
+  private void count(Change change, int sign) {
+    started += sign * change.started();
+    startedLate += sign * change.startedLate();
+    arrivedInTime += sign * change.arrivedInTime();
   }
 
   /** Returns pieces a second, or empty if some have not been waiting all the while. */
   OptionalDouble perSecond(long now) {
-    while (!starts.isEmpty() && now - starts.getFirst().at() > WINDOW_NANOS) {
-      pieces -= starts.removeFirst().count();
+    forget(now);
+    return isKnown(now) ? OptionalDouble.of(started / WINDOW_SECONDS) : OptionalDouble.empty();
+  }
+
+  /**
+   * Returns late pieces a second, as far as those that arrive in time leave room, or empty if some
+   * have not been waiting all the while.
+   */
+  OptionalDouble latePerSecond(long now) {
+    forget(now);
+    long left = Math.max(startedLate, started - arrivedInTime);
+    return isKnown(now) ? OptionalDouble.of(left / WINDOW_SECONDS) : OptionalDouble.empty();
+  }
+
+  private boolean isKnown(long now) {
+    return backlogged && now - backloggedSince >= WINDOW_NANOS;
+  }
+
+  private void forget(long now) {
+    while (!changes.isEmpty() && now - changes.getFirst().at() >= WINDOW_NANOS) {
+      count(changes.removeFirst(), -1);
     }
-    boolean known = backlogged && now - backloggedSince >= WINDOW_NANOS;
-    return known
-        ? OptionalDouble.of(pieces / (Nanos.toMillis(WINDOW_NANOS) / 1_000))
-        : OptionalDouble.empty();
   }
 
-  private record Start(long at, int count) {}
+  private record Change(long at, int started, int startedLate, int arrivedInTime) {}
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceGathererTest.java
@@ -125,6 +125,36 @@
     assertTrue(wait > 5_000, "4 pieces in 4 s, 36 wait: " + wait + " ms");
   }
 
+  /** Replays tvoet scale-1: late requests waited for seconds behind others, then were refused. */
+  @Test
+  void lateRequestsThatWillNotBeReachedAreGivenUpAtOnce() {
+    PieceGatherer gatherer = gatherer(4, 400, 1);
+    long now = 0;
+    int given = 0;
+    for (int second = 0; second < 3; second++) {
+      for (int i = 0; i < 4; i++) {
+        gatherer.submit(piece("late" + second, i, 0, 0, Optional.empty()));
+        gatherer.submit(piece("now" + second, i, 0, 60_000, Optional.empty()));
+        gatherer.submit(piece("soon" + second, i, 0, 60_000, Optional.empty()));
+      }
+      for (int step = 1; step <= 2; step++) {
+        now += millis(500);
+        given += gatherer.expire(now).size();
+        long ended = now;
+        gatherer
+            .nextCalls(now)
+            .forEach(
+                call ->
+                    gatherer
+                        .complete(call.number(), allMade(call), "self", ended)
+                        .outcomes()
+                        .forEach(o -> gatherer.released(o.result().orElseThrow().handle())));
+      }
+    }
+    assertTrue(given >= 4, given + " pieces given up of late requests that are never reached");
+    assertTrue(gatherer.queueWait(now).millis(true) > 3_000);
+  }
+
   @Test
   void resultsExpireWhenNobodyReleasesThem() {
     PieceGatherer gatherer = gatherer(8, 400, 1);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
@@ -1,10 +1,13 @@
 package org.arbutusspar.entry.gateway;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.routing.PieceLimits;
 import org.arbutusspar.core.routing.Route;
 import org.arbutusspar.core.routing.RouteStage;
 import org.arbutusspar.core.routing.ServingState;
@@ -28,6 +31,9 @@
   /** Stages are not put off for less than this. */
   private static final double LEAST_DEFERRAL_MILLIS = 100;
 
+  /** A result is read before it expires; it was made a little before this instance heard of it. */
+  private static final long EXPIRY_MARGIN_MILLIS = 150;
+
   /** Less than this may cross data centres without a thought. */
   private static final long LARGE_BYTES = 200_000;
 
@@ -44,6 +50,7 @@
   private final boolean cameBack;
   private final double plainForecast;
   private Optional<DataCentre> reader = Optional.empty();
+  private final Map<Integer, Long> firstResultAt = new HashMap<>();
   private boolean ended;
 
   private StageRun(
@@ -210,7 +217,7 @@
               inputs,
               route.priority(),
               startBy,
-              deadline - Nanos.ofMillis(ENGINE_START_MILLIS),
+              Math.min(deadline - Nanos.ofMillis(ENGINE_START_MILLIS), inputsExpireAt(stage)),
               spec.resultBytes(),
               near,
               0));
@@ -218,6 +225,20 @@
     context.pieces().submit(spec.service(), pieces, this);
   }
 
+  /** Returns when the first of the results that a stage reads is dropped by its replica. */
+  private long inputsExpireAt(int stage) {
+    long first = Long.MAX_VALUE;
+    for (int before : route.stages().get(stage).after()) {
+      Optional<PieceLimits> limits = state.pieceLimits(route.stages().get(before).service());
+      Long madeAt = firstResultAt.get(before);
+      if (madeAt != null && limits.isPresent()) {
+        long keptMillis = limits.get().keepMillis() - EXPIRY_MARGIN_MILLIS;
+        first = Math.min(first, madeAt + Nanos.ofMillis(keptMillis));
+      }
+    }
+    return first;
+  }
+
   private Optional<DataCentre> near(int stage, List<StageResult> inputs) {
     if (inputs.isEmpty()) {
       boolean large = route.stages().get(stage).resultBytes() >= LARGE_BYTES;
@@ -244,10 +265,14 @@
       return;
     }
     if (outcome.result().isEmpty()) {
+      if (!cameBack) {
+        context.correction(route.name()).learnFailed(plainForecast, elapsedMillis());
+      }
       owner.onStageFailed(outcome.reason());
       return;
     }
     int stage = outcome.id().stage();
+    firstResultAt.putIfAbsent(stage, context.loop().now());
     if (!plan.complete(stage, outcome.id().index(), outcome.result().get())) {
       context.pieces().release(List.of(outcome.result().get()));
       return;
