Requests that came back are served once they are taken; waits are told as they change

Change: a returned request is taken by the same wait as a new one with smaller shares of the spare time, and goes like a new one from then on. An instance that gathers tells its waits when they change by 100 ms, at most every 80 ms and 5 ms for each fellow, instead of with the next beat. Late pieces are kept for 0.5 s.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceCall.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceCall.java
@@ -21,4 +21,11 @@
     Objects.requireNonNull(replica, "replica");
     pieces = List.copyOf(pieces);
   }
+
+  /** Returns the number of pieces that lie better in another data centre than the replica's. */
+  public long farPieces() {
+    return pieces.stream()
+        .filter(piece -> piece.near().filter(p -> !p.equals(replica.dataCentre())).isPresent())
+        .count();
+  }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -56,6 +56,9 @@
 
   private static final double MIN_RATIO = 0.6;
 
+  /** Late pieces are kept for this long at least: a lump of work may be over by then. */
+  private static final long LATE_PATIENCE_NANOS = Nanos.ofMillis(500);
+
   /** Late pieces are given up only if twice the rate of the last second would not do. */
   private static final double LATE_RATE_DOUBT = 2;
 
@@ -210,7 +213,7 @@
   private List<Piece> takeHopeless(double perSecond, long now) {
     List<Piece> behind =
         queue.values().stream()
-            .filter(piece -> !isInTime(piece, now))
+            .filter(piece -> now - piece.startBy() > LATE_PATIENCE_NANOS)
             .sorted(order.at(now))
             .toList();
     List<Piece> hopeless = new ArrayList<>();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/QueueWait.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/QueueWait.java
@@ -16,6 +16,12 @@
     return millis == 0 ? this : new QueueWait(inTimeMillis + millis, lateMillis + millis);
   }
 
+  /** Returns whether one of the waits differs from another's by more than some milliseconds. */
+  public boolean differs(QueueWait other, int millis) {
+    return Math.abs(inTimeMillis - other.inTimeMillis) > millis
+        || Math.abs(lateMillis - other.lateMillis) > millis;
+  }
+
   /** Returns the wait of one kind of piece. */
   public int millis(boolean late) {
     return late ? lateMillis : inTimeMillis;
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
@@ -17,11 +17,11 @@
    */
   private static final double[] WAIT_SHARES = {1.2, 0.95, 0.65};
 
-  /** Waits of requests that are late already are exceeded by about this, as others go before. */
-  private static final double LATE_WAIT_FACTOR = 1.5;
-
-  /** Requests that came back wait for less than results are kept, or their stages run in vain. */
-  private static final double LATE_WAIT_MILLIS = 3_000;
+  /**
+   * The same for requests that came back after a refusal: a late answer is worth little, but a
+   * second refusal costs their clients more than the first, and once taken they go like new ones.
+   */
+  private static final double[] RETURN_SHARES = {0.8, 0.5, 0.3};
 
   private StageAdmission() {}
 
@@ -44,15 +44,12 @@
       int priority,
       boolean cameBack) {
     Validate.isTrue(priority >= 0, "priority must not be negative");
-    double doubt = cameBack ? LATE_WAIT_FACTOR : 1;
-    if (workMillis + doubt * waitMillis > leftMillis) {
+    if (workMillis + waitMillis > leftMillis) {
       return Verdict.NO_TIME;
     }
-    if (cameBack) {
-      return doubt * waitMillis > LATE_WAIT_MILLIS ? Verdict.OVERLOAD : Verdict.TAKE;
-    }
     double spare = Math.max(0, targetMillis - workMillis);
-    double share = WAIT_SHARES[Math.min(WAIT_SHARES.length - 1, priority)];
+    double[] shares = cameBack ? RETURN_SHARES : WAIT_SHARES;
+    double share = shares[Math.min(shares.length - 1, priority)];
     return waitMillis > share * spare ? Verdict.OVERLOAD : Verdict.TAKE;
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -15,6 +16,7 @@
 import org.arbutusspar.core.placement.ReplicaBook;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.core.stage.QueueWait;
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.http.RawClient;
 import org.arbutusspar.io.http.StreamHost;
@@ -51,6 +53,14 @@
 
   private static final long ANNOUNCE_PAUSE_MILLIS = 500;
 
+  /** Waits are told at most this often, and less often to many instances, to bound the bytes. */
+  private static final long TELL_MILLIS = 80;
+
+  private static final long TELL_MILLIS_PER_FELLOW = 5;
+
+  /** A wait is told before the next beat if it differs by more; admission decides by some 100. */
+  private static final int TOLD_CHANGE_MILLIS = 100;
+
   /** Shutdown takes at least this long, so that clients learn of other addresses. */
   private static final long LEAVE_MILLIS = 3_000;
 
@@ -82,6 +92,7 @@
   private final Feed configuration;
   private final Feed listed;
   private final Feed instances;
+  private boolean tellingWaits;
   private final Set<String> behind = new HashSet<>();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile boolean leaving;
@@ -108,6 +119,7 @@
     replicas = ReplicaBook.create(settings.dataCentre());
     engines = new EnginePlaces(fellows, net, replicas, loop);
     pieces = new PieceWork(fellows, net, replicas, client, loop, log);
+    pieces.onWaitsChanged(this::tellWaitsSoon);
     RequestContext context =
         RequestContext.create(
             loop, client, replicas, engines, pieces, fellows, settings.bounds(), log, metrics);
@@ -304,6 +316,33 @@
     }
   }
 
+  /** Tells the others of longer or shorter waits between beats, which are too far apart. */
+  private void tellWaitsSoon() {
+    if (tellingWaits) {
+      return;
+    }
+    tellingWaits = true;
+    long pause = TELL_MILLIS + TELL_MILLIS_PER_FELLOW * fellows.all().size();
+    loop.after(pause, this::tellWaits);
+  }
+
+  private void tellWaits() {
+    tellingWaits = false;
+    Map<String, QueueWait> before = fellows.own().waits();
+    updateBeat();
+    Map<String, QueueWait> fresh = fellows.own().waits();
+    boolean changed =
+        fresh.entrySet().stream()
+            .anyMatch(
+                entry ->
+                    before
+                        .getOrDefault(entry.getKey(), QueueWait.NONE)
+                        .differs(entry.getValue(), TOLD_CHANGE_MILLIS));
+    if (changed) {
+      net.announce();
+    }
+  }
+
   /** Asks other instances for what this one cannot read from the store itself. */
   private void catchUp() {
     askFor(FellowMessage.Table.CONFIGURATION, configuration);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -74,6 +74,7 @@
   private boolean releasing;
   private boolean expiring;
   private ServingState state;
+  private Runnable onWaitsChanged = () -> {};
 
   PieceWork(
       FellowTable fellows,
@@ -91,6 +92,11 @@
     this.self = fellows.self().name();
   }
 
+  /** Sets what is run when the waits of this instance's gatherers may have changed. */
+  void onWaitsChanged(Runnable task) {
+    onWaitsChanged = task;
+  }
+
   /** Takes a new configuration. */
   void onState(ServingState fresh) {
     state = fresh;
@@ -305,6 +311,7 @@
     }
     pieces.forEach(gatherer::submit);
     pump(gatherer);
+    onWaitsChanged.run();
   }
 
   private void askForRoom(PieceGatherer gatherer) {
@@ -378,6 +385,8 @@
         call.replica().id(),
         "pieces",
         call.pieces().size(),
+        "far",
+        call.farPieces(),
         "waiting",
         gatherer.waiting(),
         "expected_ms",
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
@@ -165,7 +165,7 @@
     String name = route.stages().get(stage).service();
     double work = state.pieceLimits(name).map(l -> l.millis(l.batch() / 2)).orElse(0.0);
     long now = context.loop().now();
-    return work + (withWaiting ? context.fellows().queueWait(name, now).millis(cameBack) : 0);
+    return work + (withWaiting ? context.fellows().queueWait(name, now).millis(false) : 0);
   }
 
   private void submitNext() {
@@ -206,7 +206,7 @@
     List<String> inputs = results.stream().map(StageResult::handle).toList();
     Optional<DataCentre> near = near(stage, results);
     long rest = pathMillis(stage) + ENGINE_START_MILLIS;
-    long startBy = arrivedAt + Nanos.ofMillis(cameBack ? 0 : route.targetMillis() - rest);
+    long startBy = arrivedAt + Nanos.ofMillis(route.targetMillis() - rest);
     List<Piece> pieces = new ArrayList<>();
     for (int i = 0; i < plan.pieces(stage); i++) {
       pieces.add(
