arbutusctl explain; pieces can be followed by their request; one kind of rest after failures

Change: arbutusctl explain --id ID FILE... merges logs into one time line with the beliefs that changed meanwhile, and states the cause in a sentence. A gatherer writes one line for each request whose pieces it takes and one for each piece that it gives up. FailureRest serves ReplicaLoad, EnginePlacer and StageWorker, which is a file of its own now. Placement.Candidate and the settings lose their unread fields. Ruled out: request identifiers in each line of a call (up to 63 a line). Measured: mvn verify passes; ExplainTest approves three walks.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -43,8 +43,8 @@
 
   private static final double FULL_SHARE = 0.9;
   private static final int MAX_KEYS_PER_REPLICA = 256;
-  private static final long FIRST_PAUSE_MILLIS = 300;
-  private static final int MAX_PAUSE_DOUBLINGS = 4;
+  private static final long FIRST_REST_MILLIS = 300;
+  private static final int MAX_REST_DOUBLINGS = 4;
 
   /** A request that has not been heard of for this long has ended unheard. */
   private static final long FORGET_MILLIS = 60_000;
@@ -129,7 +129,7 @@
     if (request != null && !request.begun) {
       request.begun = true;
       request.engine.reading -= request.reading;
-      request.engine.failures = 0;
+      request.engine.rest.succeeded();
     }
   }
 
@@ -231,9 +231,7 @@
     private UpstreamReplica replica;
     private int running;
     private long reading;
-    private int failures;
-    private long pausedUntil;
-    private boolean paused;
+    private final FailureRest rest = FailureRest.create(FIRST_REST_MILLIS, MAX_REST_DOUBLINGS);
 
     private long uncached(EngineRequest request) {
       boolean known = knows(request);
@@ -268,14 +266,11 @@
     }
 
     private boolean isHealthy(long now) {
-      return !paused || now - pausedUntil >= 0;
+      return !rest.isResting(now);
     }
 
     private void pause(long now) {
-      int doublings = Math.min(failures, MAX_PAUSE_DOUBLINGS);
-      pausedUntil = now + Nanos.ofMillis(FIRST_PAUSE_MILLIS << doublings);
-      paused = true;
-      failures++;
+      rest.failed(now);
       keys.clear();
     }
   }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/Placement.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/Placement.java
@@ -21,7 +21,6 @@
    * @param replica the replica
    * @param load requests at the replica, estimated
    * @param cost expected relative time of a request there, above zero
-   * @param sameDataCentre whether it runs in the data centre of this instance
    */
-  record Candidate(UpstreamReplica replica, double load, double cost, boolean sameDataCentre) {}
+  record Candidate(UpstreamReplica replica, double load, double cost) {}
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.arbutusspar.core.id.DataCentre;
@@ -25,24 +24,16 @@
   /** Share of a service's replicas that may be passed over because of failures. */
   private static final double MAX_PAUSED_SHARE = 0.5;
 
-  private final DataCentre home;
   private Map<String, List<UpstreamReplica>> byService = Map.of();
   private Map<String, UpstreamReplica> byId = Map.of();
   private Map<Endpoint, UpstreamReplica> byEndpoint = Map.of();
   private final Map<String, ReplicaLoad> loads = new HashMap<>();
 
-  private ReplicaBook(DataCentre home) {
-    this.home = home;
-  }
+  private ReplicaBook() {}
 
-  /**
-   * Returns a book without replicas.
-   *
-   * @param home data centre of this instance, not null
-   * @return the book
-   */
-  public static ReplicaBook create(DataCentre home) {
-    return new ReplicaBook(Objects.requireNonNull(home, "home"));
+  /** Returns a book without replicas. */
+  public static ReplicaBook create() {
+    return new ReplicaBook();
   }
 
   /**
@@ -125,8 +116,7 @@
   private Placement.Candidate candidate(UpstreamReplica replica, long now) {
     ReplicaLoad load = load(replica);
     double cost = relativeTime(replica) * (1 + FAILURE_COST * load.failureShare());
-    boolean near = replica.dataCentre().equals(home);
-    return new Placement.Candidate(replica, load.estimate(now), cost, near);
+    return new Placement.Candidate(replica, load.estimate(now), cost);
   }
 
   private double relativeTime(UpstreamReplica replica) {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaLoad.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaLoad.java
@@ -12,8 +12,8 @@
   private static final long REPORT_LIFE_NANOS = Nanos.ofMillis(500);
 
   private static final double WEIGHT = 0.2;
-  private static final long FIRST_PAUSE_MILLIS = 300;
-  private static final int MAX_PAUSE_DOUBLINGS = 4;
+  private static final long FIRST_REST_MILLIS = 300;
+  private static final int MAX_REST_DOUBLINGS = 4;
 
   private int inFlight;
   private double othersReported;
@@ -21,9 +21,7 @@
   private boolean reported;
   private double failureShare;
   private double millis;
-  private int failuresInRow;
-  private long pausedUntil;
-  private boolean paused;
+  private final FailureRest rest = FailureRest.create(FIRST_REST_MILLIS, MAX_REST_DOUBLINGS);
 
   /** Returns the number of requests at the replica, those of other instances estimated. */
   double estimate(long now) {
@@ -57,8 +55,8 @@
   }
 
   void onAnswer(double tookMillis) {
-    failuresInRow = 0;
-    paused = false;
+    rest.succeeded();
+    rest.end();
     failureShare -= WEIGHT * failureShare;
     millis = millis == 0 ? tookMillis : millis + WEIGHT * (tookMillis - millis);
   }
@@ -71,14 +69,11 @@
   /** Counts a request without an answer, and pauses the replica for longer each time. */
   void onBroken(long now) {
     onFailedAnswer();
-    int doublings = Math.min(failuresInRow, MAX_PAUSE_DOUBLINGS);
-    pausedUntil = now + Nanos.ofMillis(FIRST_PAUSE_MILLIS << doublings);
-    paused = true;
-    failuresInRow++;
+    rest.failed(now);
   }
 
   boolean isPaused(long now) {
-    return paused && now - pausedUntil < 0;
+    return rest.isResting(now);
   }
 
   double failureShare() {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -39,22 +39,11 @@
   /** Releases do not wait for others once this share of a replica's room is taken. */
   private static final double SCARCE_ROOM_SHARE = 0.4;
 
-  /** Results of another gatherer are released or expire within about this time. */
-  private static final long UNKNOWN_ROOM_MILLIS = 1_000;
-
-  /** A replica that had no room is called again after this. */
-  private static final long NO_ROOM_PAUSE_MILLIS = 60;
-
   /** A replica that takes this many times as long as the best is used only in a crowd. */
   private static final double SLOW_BOUND = 2;
 
-  /** Weight of the newest call in the means: about the last five calls count. */
-  private static final double RATIO_WEIGHT = 0.3;
-
-  /** Bounds of a replica's learned time over the configured one. */
-  private static final double MAX_RATIO = 20;
-
-  private static final double MIN_RATIO = 0.6;
+  /** Weight of the newest call in the mean size: about the last five calls count. */
+  private static final double SIZE_WEIGHT = 0.3;
 
   /** Late pieces are kept for this long at least: a lump of work may be over by then. */
   private static final long LATE_PATIENCE_NANOS = Nanos.ofMillis(500);
@@ -68,15 +57,10 @@
   /** Bound of a forecast; no client waits for so long. */
   private static final double MAX_WAIT_MILLIS = 60_000;
 
-  /** Rest of a replica after a failed call, about the fixed time of a call; doubled each time. */
-  private static final long FIRST_PAUSE_MILLIS = 250;
-
-  private static final int MAX_PAUSE_DOUBLINGS = 3;
-
   private final String service;
   private final PieceOrder order;
   private final Map<PieceId, Piece> queue = new LinkedHashMap<>();
-  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Map<String, StageWorker> workers = new LinkedHashMap<>();
   private final Map<Long, PieceCall> calls = new HashMap<>();
   private final Map<String, Kept> kept = new HashMap<>();
   private final Set<PieceId> cancelledInCall = new HashSet<>();
@@ -130,10 +114,10 @@
     Set<String> ids = new HashSet<>();
     for (UpstreamReplica replica : usable) {
       ids.add(replica.id());
-      workers.computeIfAbsent(replica.id(), id -> new Worker()).replica = replica;
+      workers.computeIfAbsent(replica.id(), id -> new StageWorker(replica)).replica(replica);
     }
-    workers.forEach((id, worker) -> worker.listed = ids.contains(id));
-    workers.values().removeIf(worker -> !worker.listed && worker.calls == 0);
+    workers.forEach((id, worker) -> worker.listed(ids.contains(id)));
+    workers.values().removeIf(worker -> !worker.isListed() && worker.isIdle());
   }
 
   /** Adds a piece. A piece that waits already is replaced. */
@@ -256,13 +240,13 @@
   }
 
   private Optional<PieceCall> nextCall(long now) {
-    List<Worker> free =
+    List<StageWorker> free =
         workers.values().stream()
             .filter(worker -> worker.isFree(limits.slots(), now) && !isTooSlow(worker))
-            .sorted(Comparator.comparingDouble((Worker worker) -> worker.ratio))
+            .sorted(Comparator.comparingDouble((StageWorker worker) -> worker.ratio()))
             .toList();
     List<List<Piece>> groups = free.isEmpty() ? List.of() : groups(now);
-    for (Worker worker : free) {
+    for (StageWorker worker : free) {
       List<Piece> pieces = selectFor(worker, groups, now);
       if (!pieces.isEmpty()) {
         return Optional.of(begin(worker, pieces, now));
@@ -272,11 +256,11 @@
   }
 
   /** Returns whether pieces are done sooner if they wait for a faster replica. */
-  private boolean isTooSlow(Worker worker) {
-    List<Worker> listed = workers.values().stream().filter(w -> w.listed).toList();
-    double best = listed.stream().mapToDouble(w -> w.ratio).min().orElse(1);
-    long faster = listed.stream().filter(w -> w.ratio <= SLOW_BOUND * best).count();
-    return worker.ratio > SLOW_BOUND * best && queue.size() <= faster * limits.batch();
+  private boolean isTooSlow(StageWorker worker) {
+    List<StageWorker> listed = workers.values().stream().filter(StageWorker::isListed).toList();
+    double best = listed.stream().mapToDouble(StageWorker::ratio).min().orElse(1);
+    long faster = listed.stream().filter(w -> w.ratio() <= SLOW_BOUND * best).count();
+    return worker.ratio() > SLOW_BOUND * best && queue.size() <= faster * limits.batch();
   }
 
   /** Returns the waiting pieces in order, those of one stage of one request together. */
@@ -297,7 +281,7 @@
    * Selects pieces for a replica: whole groups, since a request waits for the last of its pieces;
    * part of one only where no whole group fits. Groups of the replica's data centre go first.
    */
-  private List<Piece> selectFor(Worker worker, List<List<Piece>> groups, long now) {
+  private List<Piece> selectFor(StageWorker worker, List<List<Piece>> groups, long now) {
     List<Piece> selected = new ArrayList<>();
     long room = limits.roomBytes() - worker.takenBytes(now);
     long lateRoom = (long) (limits.roomBytes() * (1 - LATE_ROOM_SHARE));
@@ -347,8 +331,8 @@
     return now - piece.startBy() <= 0;
   }
 
-  private static boolean isNear(Piece piece, Worker worker) {
-    return piece.near().isEmpty() || piece.near().get().equals(worker.replica.dataCentre());
+  private static boolean isNear(Piece piece, StageWorker worker) {
+    return piece.near().isEmpty() || piece.near().get().equals(worker.replica().dataCentre());
   }
 
   /** Returns whether a piece may go to another data centre: if it is urgent, or must. */
@@ -357,18 +341,17 @@
     boolean crowded = queue.size() >= limits.batch();
     return urgent
         || crowded
-        || workers.values().stream().noneMatch(w -> w.listed && isNear(piece, w));
+        || workers.values().stream().noneMatch(w -> w.isListed() && isNear(piece, w));
   }
 
-  private PieceCall begin(Worker worker, List<Piece> pieces, long now) {
-    long expected = Nanos.ofMillis((long) (limits.millis(pieces.size()) * worker.ratio));
-    final PieceCall call = new PieceCall(++lastNumber, worker.replica, pieces, now, expected);
+  private PieceCall begin(StageWorker worker, List<Piece> pieces, long now) {
+    long expected = Nanos.ofMillis((long) (limits.millis(pieces.size()) * worker.ratio()));
+    final PieceCall call = new PieceCall(++lastNumber, worker.replica(), pieces, now, expected);
     pieces.forEach(piece -> queue.remove(piece.id()));
     if (!queue.isEmpty()) {
-      callSize += RATIO_WEIGHT * (pieces.size() - callSize);
+      callSize += SIZE_WEIGHT * (pieces.size() - callSize);
     }
-    worker.calls++;
-    worker.usedBytes += bytes(pieces);
+    worker.begin(bytes(pieces));
     calls.put(call.number(), call);
     return call;
   }
@@ -391,11 +374,11 @@
       calls.put(number, call);
       return fail(number, false, now);
     }
-    Worker worker = workers.get(call.replica().id());
+    StageWorker worker = workers.get(call.replica().id());
     end(call, worker);
     boolean allMade = results.stream().allMatch(answer -> answer.handle().isPresent());
     if (allMade) {
-      worker.learn((now - call.startedAt()) / Math.max(1.0, call.expectedNanos()));
+      worker.learnSpeed((now - call.startedAt()) / Math.max(1.0, call.expectedNanos()));
     }
     Completion completion = new Completion(new ArrayList<>(), new ArrayList<>());
     long refusedBytes = 0;
@@ -405,19 +388,19 @@
       }
       take(call.pieces().get(i), results.get(i), worker, self, now, completion);
     }
-    worker.learnRoom(refusedBytes, now);
+    worker.learnRefused(refusedBytes, now);
     return completion;
   }
 
   private void take(
-      Piece piece, PieceAnswer answer, Worker worker, String self, long now, Completion into) {
+      Piece piece, PieceAnswer answer, StageWorker worker, String self, long now, Completion into) {
     if (answer.handle().isPresent()) {
       StageResult result = new StageResult(answer.handle().get(), self, piece.resultBytes());
       if (cancelledInCall.remove(piece.id())) {
         into.unwanted().add(result);
         return;
       }
-      worker.usedBytes += piece.resultBytes();
+      worker.keep(piece.resultBytes());
       long expiresAt = now + Nanos.ofMillis(limits.keepMillis());
       kept.put(result.handle(), new Kept(worker, piece.origin(), piece.resultBytes(), expiresAt));
       into.outcomes().add(PieceOutcome.made(piece.id(), result));
@@ -449,9 +432,9 @@
     if (call == null) {
       return Completion.NOTHING;
     }
-    Worker worker = workers.get(call.replica().id());
+    StageWorker worker = workers.get(call.replica().id());
     end(call, worker);
-    worker.pause(now);
+    worker.failed(now);
     if (!wasFull) {
       long bytes = bytes(call.pieces());
       worker.reserve(bytes, limits.keepMillis(), now);
@@ -469,9 +452,8 @@
     return completion;
   }
 
-  private void end(PieceCall call, Worker worker) {
-    worker.calls--;
-    worker.usedBytes -= bytes(call.pieces());
+  private void end(PieceCall call, StageWorker worker) {
+    worker.end(bytes(call.pieces()));
   }
 
   /**
@@ -483,7 +465,7 @@
   public boolean released(String handle) {
     Kept result = kept.remove(handle);
     if (result != null) {
-      result.worker().usedBytes -= result.bytes();
+      result.worker().drop(result.bytes());
     }
     return result != null;
   }
@@ -491,13 +473,13 @@
   /** Returns whether a replica has so little room left that results should be released at once. */
   public boolean isRoomScarce() {
     return workers.values().stream()
-        .anyMatch(worker -> worker.usedBytes > SCARCE_ROOM_SHARE * limits.roomBytes());
+        .anyMatch(worker -> worker.usedBytes() > SCARCE_ROOM_SHARE * limits.roomBytes());
   }
 
   private static boolean dropIfExpired(Kept result, long now) {
     boolean expired = now - result.expiresAt() >= 0;
     if (expired) {
-      result.worker().usedBytes -= result.bytes();
+      result.worker().drop(result.bytes());
     }
     return expired;
   }
@@ -511,11 +493,9 @@
    * @param now current time
    */
   public void onFreeRoom(String replicaId, long freeBytes, long now) {
-    Worker worker = workers.get(replicaId);
+    StageWorker worker = workers.get(replicaId);
     if (worker != null) {
-      long unknown = limits.roomBytes() - freeBytes - worker.usedBytes;
-      worker.unknownBytes = 0;
-      worker.reserve(Math.max(0, unknown), UNKNOWN_ROOM_MILLIS, now);
+      worker.learnTaken(limits.roomBytes() - freeBytes, now);
     }
   }
 
@@ -542,8 +522,8 @@
     }
     double perSecond =
         workers.values().stream()
-            .filter(worker -> worker.listed)
-            .mapToDouble(worker -> limits.slots() * callSize / seconds(callSize) / worker.ratio)
+            .filter(StageWorker::isListed)
+            .mapToDouble(worker -> limits.slots() * callSize / seconds(callSize) / worker.ratio())
             .sum();
     double reached = Math.min(perSecond, startRate.perSecond(now).orElse(perSecond));
     double millisPerPiece = 1_000.0 / Math.max(MIN_PIECES_PER_SECOND, reached);
@@ -579,52 +559,5 @@
   }
 
   /** A result at a replica. */
-  private record Kept(Worker worker, String origin, long bytes, long expiresAt) {}
-
-  /** A replica as this gatherer sees it. */
-  private static final class Worker {
-    private UpstreamReplica replica;
-    private boolean listed = true;
-    private int calls;
-    private long usedBytes;
-    private long unknownBytes;
-    private long unknownUntil = Long.MIN_VALUE / 2;
-    private double ratio = 1;
-    private int failures;
-    private long pausedUntil;
-
-    private boolean isFree(int slots, long now) {
-      return listed && calls < slots && now - pausedUntil >= 0;
-    }
-
-    /** Results that this gatherer does not know of take room as well, for a while. */
-    private void learnRoom(long refusedBytes, long now) {
-      if (refusedBytes > 0) {
-        reserve(refusedBytes, UNKNOWN_ROOM_MILLIS, now);
-        pausedUntil = now + Nanos.ofMillis(NO_ROOM_PAUSE_MILLIS);
-      }
-    }
-
-    private void reserve(long bytes, long millis, long now) {
-      unknownBytes = (now - unknownUntil < 0 ? unknownBytes : 0) + bytes;
-      unknownUntil = now + Nanos.ofMillis(millis);
-    }
-
-    private long takenBytes(long now) {
-      return usedBytes + (now - unknownUntil < 0 ? unknownBytes : 0);
-    }
-
-    private void learn(double actualOverExpected) {
-      failures = 0;
-      double observed = ratio * actualOverExpected;
-      ratio += RATIO_WEIGHT * (observed - ratio);
-      ratio = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio));
-    }
-
-    private void pause(long now) {
-      int doublings = Math.min(failures, MAX_PAUSE_DOUBLINGS);
-      pausedUntil = now + Nanos.ofMillis(FIRST_PAUSE_MILLIS << doublings);
-      failures++;
-    }
-  }
+  private record Kept(StageWorker worker, String origin, long bytes, long expiresAt) {}
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlacementTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlacementTest.java
@@ -31,7 +31,7 @@
     for (int i = 1; i <= replicas; i++) {
       listed.add(replica(i, false));
     }
-    ReplicaBook book = ReplicaBook.create(HERE);
+    ReplicaBook book = ReplicaBook.create();
     book.replace(listed);
     return book;
   }
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
@@ -57,6 +57,7 @@
             DiffCommand.class,
             ShowCommand.class,
             StatusCommand.class,
+            ExplainCommand.class,
             AddressesCommand.class,
             CallCommand.class,
             LoadCommand.class,
--- /dev/null
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/LogLine.java
@@ -0,0 +1,80 @@
+package org.arbutusspar.ctl;
+
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A line of an instance's log. Immutable.
+ *
+ * @param instance name of the instance that wrote it, as far as it is known
+ * @param time when it was written, as it stands in the line; sorts by time
+ * @param event kind of the event
+ * @param fields the other keys and values, in their order
+ */
+record LogLine(String instance, String time, String event, Map<String, String> fields) {
+
+  private static final Pattern PAIR =
+      Pattern.compile("([A-Za-z_]+)=(\"(?:[^\"\\\\]|\\\\.)*\"|\\S*)");
+
+  /** Collectors put the instance's name before its lines, at times after a moment. */
+  private static final Pattern PREFIX = Pattern.compile("^\\s*(?:-?[\\d.]+\\s+)?(\\S+)\\s+time=");
+
+  LogLine {
+    Objects.requireNonNull(instance, "instance");
+    Objects.requireNonNull(time, "time");
+    Objects.requireNonNull(event, "event");
+    fields = Collections.unmodifiableMap(new LinkedHashMap<>(fields));
+  }
+
+  /**
+   * Reads a line.
+   *
+   * @param text the line, not null
+   * @param instance instance that wrote it, if the line does not name one before its time, not null
+   * @return the line, or empty if it tells of no event
+   */
+  static Optional<LogLine> parse(String text, String instance) {
+    Map<String, String> fields = new LinkedHashMap<>();
+    Matcher pairs = PAIR.matcher(text);
+    while (pairs.find()) {
+      fields.put(pairs.group(1), unquoted(pairs.group(2)));
+    }
+    String time = fields.remove("time");
+    String event = fields.remove("event");
+    fields.remove("level");
+    if (time == null || event == null) {
+      return Optional.empty();
+    }
+    Matcher prefix = PREFIX.matcher(text);
+    String writer = prefix.find() ? prefix.group(1) : instance;
+    return Optional.of(new LogLine(writer, time, event, fields));
+  }
+
+  private static String unquoted(String value) {
+    boolean quoted = value.length() >= 2 && value.startsWith("\"") && value.endsWith("\"");
+    return quoted ? value.substring(1, value.length() - 1).replace("\\\"", "\"") : value;
+  }
+
+  /** Returns a field, or a dash if the line does not have it. */
+  String field(String key) {
+    return fields.getOrDefault(key, "-");
+  }
+
+  /** Returns whether the line tells of a request. */
+  boolean isOf(String requestId) {
+    return requestId.equals(fields.get("id"));
+  }
+
+  @Override
+  public String toString() {
+    StringBuilder text = new StringBuilder(time).append(' ').append(instance).append(' ');
+    text.append(event);
+    fields.forEach((key, value) -> text.append(' ').append(key).append('=').append(value));
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/ExplainTest.java
@@ -0,0 +1,63 @@
+package org.arbutusspar.ctl;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+/** Explains requests from lines as played days wrote them. */
+class ExplainTest {
+
+  private static Path log(String name) {
+    try {
+      return Path.of(
+          Objects.requireNonNull(ExplainTest.class.getResource("/explain/" + name)).toURI());
+    } catch (URISyntaxException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static String explain(String id) throws IOException {
+    RequestStory story = RequestStory.read(List.of(log("others.log"), log("e-1.log")), id);
+    StringBuilder text = new StringBuilder();
+    story.timeLine().forEach(line -> text.append(line).append('\n'));
+    return text.append(RequestCause.of(story)).append('\n').toString();
+  }
+
+  @Test
+  void requestRefusedInFlood() throws IOException {
+    Approvals.verify(explain("q-flood"));
+  }
+
+  @Test
+  void requestLateBecauseOfOneStage() throws IOException {
+    Approvals.verify(explain("q-late"));
+  }
+
+  @Test
+  void requestWhoseAnswerWasLost() throws IOException {
+    Approvals.verify(explain("q-lost"));
+  }
+
+  @Test
+  void requestWithoutOutcome() throws IOException {
+    assertTrue(explain("q-cut").contains("instance e-1 ended or lost power after request"));
+  }
+
+  @Test
+  void requestThatWasRejected() throws IOException {
+    assertTrue(explain("q-key").contains("Rejected with 401"));
+  }
+
+  @Test
+  void unknownRequestAndUnreadableFileAreTold() {
+    assertEquals(1, CtlMain.run("explain", "--id", "none", log("e-1.log").toString()));
+    assertEquals(2, CtlMain.run("explain", "--id", "q-late", "/does/not/exist.log"));
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
@@ -99,6 +99,6 @@
         Optional.empty(),
         List.of(),
         endpoints.get(4),
-        new PlatformSettings.Bounds(8_000, 2_000, 0.2, 10_000, 50, 5_000));
+        new PlatformSettings.Bounds(8_000, 0.2, 10_000, 50, 5_000));
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -116,7 +116,7 @@
             settings.clients());
     fellows = FellowTable.create(self, FellowNet.SILENCE_MILLIS);
     net = FellowNet.create(fellows, loop, log, settings.seeds(), new FellowEvents());
-    replicas = ReplicaBook.create(settings.dataCentre());
+    replicas = ReplicaBook.create();
     engines = new EnginePlaces(fellows, net, replicas, loop);
     pieces = new PieceWork(fellows, net, replicas, client, loop, log);
     pieces.onWaitsChanged(this::tellWaitsSoon);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -310,10 +310,32 @@
       askForRoom(gatherer);
     }
     pieces.forEach(gatherer::submit);
+    logTaken(gatherer, pieces);
     pump(gatherer);
     onWaitsChanged.run();
   }
 
+  /** Writes a line for each request, so that it can be followed from instance to instance. */
+  private void logTaken(PieceGatherer gatherer, List<Piece> pieces) {
+    Map<PieceId, Integer> counts = new LinkedHashMap<>();
+    pieces.forEach(
+        p -> counts.merge(new PieceId(p.id().requestId(), p.id().stage(), 0), 1, Integer::sum));
+    counts.forEach(
+        (group, count) ->
+            log.write(
+                "pieces-taken",
+                "id",
+                group.requestId(),
+                "stage",
+                group.stage(),
+                "pieces",
+                count,
+                "service",
+                gatherer.service(),
+                "waiting",
+                gatherer.waiting()));
+  }
+
   private void askForRoom(PieceGatherer gatherer) {
     for (UpstreamReplica replica : replicas.usable(gatherer.service())) {
       client
@@ -351,6 +373,16 @@
   private void pump(PieceGatherer gatherer) {
     long now = loop.now();
     for (Piece late : gatherer.expire(now)) {
+      log.write(
+          "piece-given-up",
+          "id",
+          late.id().requestId(),
+          "stage",
+          late.id().stage(),
+          "waiting",
+          gatherer.waiting(),
+          "left_ms",
+          Math.round(Nanos.toMillis(late.deadline() - now)));
       tell(late.origin(), List.of(PieceOutcome.none(late.id(), PieceOutcome.LATE)));
     }
     gatherer.nextCalls(now).forEach(call -> send(gatherer, call));
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -109,7 +109,7 @@
             Optional.empty(),
             seeds,
             storeEndpoint,
-            new PlatformSettings.Bounds(shutdownMillis, 2_000, 0.2, 10_000, 50, 5_000));
+            new PlatformSettings.Bounds(shutdownMillis, 0.2, 10_000, 50, 5_000));
     return new Instance(keep(Gateway.start(settings)), settings);
   }
 
