Retry budget: instances that were killed together stay within the budget of all

A herd kill doubles the use of the allowance. Change: the allowance counts only once a budget is as old as its window; until then a part of the requests is all that may be repeated. The shares of ratio and allowance that are used move into the budget, with the number of known instances, so that the test replays what runs. Ruled out: letting the allowance grow evenly over the first window (a burst just before the kill and one at its end lie in one window).

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WindowedRetryBudget.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WindowedRetryBudget.java
@@ -6,7 +6,9 @@
 
 /**
  * Bounds how many extra requests one instance sends to a service within a sliding window, so that
- * all instances together stay within a share of the requests plus a fixed allowance.
+ * all instances together stay within a share of the requests plus a fixed allowance. The allowance
+ * counts only once the budget is as old as its window: what an instance sent before it was killed
+ * and started again may still be in that window.
  *
  * <p>Load pattern: a service that fails a part of its requests while clients come back at once.
  */
@@ -14,15 +16,24 @@
 
   private static final int SLICES_PER_WINDOW = 20;
 
+  /** Part of the ratio that is used: requests may be counted a slice apart. */
+  private static final double RATIO_SHARE = 0.8;
+
+  /** Part of the fixed allowance that is used, since an instance may not know all others. */
+  private static final double ALLOWANCE_SHARE = 0.6;
+
   private final double ratio;
+  private final long windowNanos;
   private final long sliceNanos;
   private final int[] requests = new int[SLICES_PER_WINDOW + 1];
   private final int[] extras = new int[SLICES_PER_WINDOW + 1];
   private long current;
   private boolean used;
+  private long firstUsedAt;
 
   private WindowedRetryBudget(double ratio, long windowMillis) {
     this.ratio = ratio;
+    this.windowNanos = Nanos.ofMillis(windowMillis);
     this.sliceNanos = Nanos.ofMillis(windowMillis) / SLICES_PER_WINDOW;
   }
 
@@ -52,13 +63,16 @@
   /**
    * Takes the right to one extra request.
    *
-   * @param allowance this instance's part of the fixed allowance
+   * @param allowance the fixed allowance of all instances together
+   * @param instances number of instances that are known, live or not, over 0
    * @param now current time
    * @return true if the request may be sent
    */
-  public boolean tryTake(double allowance, long now) {
+  public boolean tryTake(double allowance, int instances, long now) {
+    Validate.isTrue(instances > 0, "instances must be positive");
     advance(now);
-    if (sum(extras) + 1 > ratio * sum(requests) + allowance) {
+    double part = now - firstUsedAt < windowNanos ? 0 : allowance * ALLOWANCE_SHARE / instances;
+    if (sum(extras) + 1 > ratio * RATIO_SHARE * sum(requests) + part) {
       return false;
     }
     extras[slot(current)]++;
@@ -67,6 +81,9 @@
 
   private void advance(long now) {
     long slice = Math.floorDiv(now, sliceNanos);
+    if (!used) {
+      firstUsedAt = now;
+    }
     if (!used || slice - current > SLICES_PER_WINDOW) {
       Arrays.fill(requests, 0);
       Arrays.fill(extras, 0);
--- /dev/null
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/SharedRetryBudgetTest.java
@@ -0,0 +1,81 @@
+package org.arbutusspar.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.arbutusspar.core.Nanos;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Replays a service that fails every request, asked by nine instances of which one has most of the
+ * traffic, while all of them are killed at once: no window has more extra requests than are allowed
+ * to all together.
+ */
+class SharedRetryBudgetTest {
+
+  private static final int INSTANCES = 9;
+  private static final double RATIO = 0.2;
+  private static final int ALLOWANCE = 52;
+  private static final long WINDOW = Nanos.ofMillis(10_000);
+  private static final long LENGTH = Nanos.ofMillis(60_000);
+  private static final long STEP = Nanos.ofMillis(20);
+
+  private final List<WindowedRetryBudget> budgets = new ArrayList<>();
+  private final Deque<Long> requests = new ArrayDeque<>();
+  private final Deque<Long> extras = new ArrayDeque<>();
+
+  private void startAll() {
+    budgets.clear();
+    for (int i = 0; i < INSTANCES; i++) {
+      budgets.add(WindowedRetryBudget.create(RATIO, 10_000));
+    }
+  }
+
+  /** Returns by how much the allowed number was exceeded at most. */
+  private double worstExcess(long seed, double perStep) {
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    startAll();
+    double worst = -ALLOWANCE;
+    for (long now = 0; now < LENGTH; now += STEP) {
+      if (random.nextDouble() < 0.002) {
+        startAll();
+      }
+      if (random.nextDouble() < perStep) {
+        WindowedRetryBudget budget =
+            budgets.get(random.nextDouble() < 0.6 ? 0 : random.nextInt(INSTANCES));
+        budget.onRequest(now);
+        requests.add(now);
+      }
+      for (WindowedRetryBudget budget : budgets) {
+        while (budget.tryTake(ALLOWANCE, INSTANCES, now)) {
+          extras.add(now);
+        }
+      }
+      forget(requests, now);
+      forget(extras, now);
+      worst = Math.max(worst, extras.size() - RATIO * requests.size() - ALLOWANCE);
+    }
+    return worst;
+  }
+
+  private static void forget(Deque<Long> times, long now) {
+    while (!times.isEmpty() && now - times.getFirst() > WINDOW) {
+      times.removeFirst();
+    }
+  }
+
+  @Test
+  void instancesThatAreKilledTogetherStayWithinTheBudgetOfAll() {
+    for (long seed = 1; seed <= 20; seed++) {
+      for (double perStep : new double[] {0.02, 0.2, 0.9}) {
+        double excess = new SharedRetryBudgetTest().worstExcess(seed, perStep);
+        assertTrue(excess <= 0, "seed " + seed + " exceeds by " + excess);
+      }
+    }
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -49,12 +49,6 @@
     EventLog log,
     GatewayMetrics metrics) {
 
-  /** Part of the fixed allowance for extra requests that is used, since instances may be missed. */
-  private static final double ALLOWANCE_SHARE = 0.6;
-
-  /** Part of the ratio that is used, for the same reason. */
-  private static final double RATIO_SHARE = 0.8;
-
   private static final Placement AFFINITY = PromptAffinityPlacement.create();
   private static final Placement LEAST_LOAD = LeastLoadPlacement.create();
 
@@ -117,15 +111,12 @@
   /** Takes the right to send a request to a service once more. */
   boolean tryRepeat(String service) {
     int instances = Math.max(1, Math.max(fellows.all().size() + 1, fellows.liveCount(loop.now())));
-    double allowance = bounds.retryAllowance() * ALLOWANCE_SHARE / instances;
-    return budget(service).tryTake(allowance, loop.now());
+    return budget(service).tryTake(bounds.retryAllowance(), instances, loop.now());
   }
 
   private WindowedRetryBudget budget(String service) {
     return budgets.computeIfAbsent(
         service,
-        name ->
-            WindowedRetryBudget.create(
-                bounds.retryRatio() * RATIO_SHARE, bounds.retryWindowMillis()));
+        name -> WindowedRetryBudget.create(bounds.retryRatio(), bounds.retryWindowMillis()));
   }
 }
