--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaBook.java
@@ -71,6 +71,16 @@
     return Optional.ofNullable(byEndpoint.get(endpoint)).map(UpstreamReplica::dataCentre);
   }
 
+  /** Returns the number of listed replicas that are usable, resting after failures, or leaving. */
+  public Map<String, Integer> countByState(long now) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (UpstreamReplica replica : byId.values()) {
+      String healthy = load(replica).isPaused(now) ? "resting" : "usable";
+      counts.merge(replica.leaving() ? "leaving" : healthy, 1, Integer::sum);
+    }
+    return counts;
+  }
+
   /** Returns the listed replicas that a fresh list lacks. */
   public List<UpstreamReplica> missingFrom(Collection<UpstreamReplica> fresh) {
     Set<String> ids = new HashSet<>();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WindowedRetryBudget.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WindowedRetryBudget.java
@@ -69,16 +69,28 @@
    * @return true if the request may be sent
    */
   public boolean tryTake(double allowance, int instances, long now) {
-    Validate.isTrue(instances > 0, "instances must be positive");
-    advance(now);
-    double part = now - firstUsedAt < windowNanos ? 0 : allowance * ALLOWANCE_SHARE / instances;
-    if (sum(extras) + 1 > ratio * RATIO_SHARE * sum(requests) + part) {
+    if (left(allowance, instances, now) < 1) {
       return false;
     }
     extras[slot(current)]++;
     return true;
   }
 
+  /**
+   * Returns how many extra requests may be sent now.
+   *
+   * @param allowance the fixed allowance of all instances together
+   * @param instances number of instances that are known, live or not, over 0
+   * @param now current time
+   * @return the number, not negative, fractions included
+   */
+  public double left(double allowance, int instances, long now) {
+    Validate.isTrue(instances > 0, "instances must be positive");
+    advance(now);
+    double part = now - firstUsedAt < windowNanos ? 0 : allowance * ALLOWANCE_SHARE / instances;
+    return Math.max(0, ratio * RATIO_SHARE * sum(requests) + part - sum(extras));
+  }
+
   private void advance(long now) {
     long slice = Math.floorDiv(now, sliceNanos);
     if (!used) {
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlCommand.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlCommand.java
@@ -66,12 +66,16 @@
   }
 
   final List<Endpoint> instances() {
+    return endpoints(setting(instances, ENV_INSTANCES, "--instances"), "--instances");
+  }
+
+  static List<Endpoint> endpoints(String text, String option) {
     List<Endpoint> endpoints = new ArrayList<>();
-    for (String each : setting(instances, ENV_INSTANCES, "--instances").split(",")) {
+    for (String each : text.split(",")) {
       try {
         endpoints.add(Endpoint.parse(each.trim()));
       } catch (IllegalArgumentException e) {
-        throw new CtlException(ExitCode.USAGE, "--instances: " + e.getMessage());
+        throw new CtlException(ExitCode.USAGE, option + ": " + e.getMessage());
       }
     }
     return endpoints;
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/InstanceClient.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/InstanceClient.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import org.arbutusspar.core.route.Endpoint;
 import org.arbutusspar.io.codec.Mappers;
@@ -67,6 +68,18 @@
     }
   }
 
+  /** Returns the metrics of an instance on the users' platform, or empty if it does not answer. */
+  Optional<String> metrics(Endpoint endpoint) {
+    try {
+      HttpReply reply =
+          http.call("metrics", HttpCall.get(uri(endpoint, "/metrics"), TIMEOUT_MILLIS)).join();
+      return reply.isSuccess() ? Optional.of(reply.body()) : Optional.empty();
+    } catch (CompletionException e) {
+      System.err.println(endpoint + ": " + e.getCause().getMessage());
+      return Optional.empty();
+    }
+  }
+
   /** Returns the status of every live instance, by its endpoint; null for one that is silent. */
   Map<Endpoint, JsonNode> statusOfAll(String operatorKey) {
     Map<String, String> headers = Map.of("Authorization", "Bearer " + operatorKey);
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/StatusCommand.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/StatusCommand.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.arbutusspar.core.route.Endpoint;
 import org.arbutusspar.io.http.HttpCaller;
 
@@ -12,11 +14,20 @@
 @Command(name = "status", description = "Show the instances, their state and their revision")
 public final class StatusCommand extends CtlCommand {
 
+  @Option(
+      name = "--metrics",
+      title = "IP:PORT,...",
+      description = "Instances on the users' platform, by their metrics addresses")
+  private String metrics;
+
   /** Creates the command; used by the command line parser. */
   public StatusCommand() {}
 
   @Override
   ExitCode execute(Output out) {
+    if (metrics != null) {
+      return showBeliefs(out);
+    }
     try (HttpCaller http = newHttp()) {
       Map<Endpoint, JsonNode> all =
           InstanceClient.create(http, instances()).statusOfAll(operatorKey());
@@ -33,6 +44,27 @@
     }
   }
 
+  private ExitCode showBeliefs(Output out) {
+    List<List<String>> rows = new ArrayList<>();
+    rows.add(BeliefsTable.HEADING);
+    boolean allAnswered = true;
+    try (HttpCaller http = newHttp()) {
+      for (Endpoint endpoint : endpoints(metrics, "--metrics")) {
+        Optional<String> text = InstanceClient.create(http, List.of()).metrics(endpoint);
+        allAnswered &= text.isPresent();
+        rows.add(
+            text.map(each -> BeliefsTable.row(endpoint, each))
+                .orElseGet(() -> BeliefsTable.silent(endpoint)));
+      }
+    }
+    if (out.isJson()) {
+      out.json(rows);
+    } else {
+      out.table(rows);
+    }
+    return allAnswered ? ExitCode.OK : ExitCode.UNREACHABLE;
+  }
+
   private static List<String> row(Endpoint endpoint, JsonNode status) {
     if (status == null) {
       return List.of(endpoint.toString(), "-", "-", "silent", "-", "-", "-");
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Beliefs.java
@@ -0,0 +1,28 @@
+package org.arbutusspar.entry.gateway;
+
+import java.util.Map;
+
+/**
+ * What an instance believes at a moment, for its metrics. Immutable; made on the loop, read by any
+ * thread.
+ *
+ * @param configurationVersion version of the configuration in force, -1 if there is none
+ * @param replicasByState number of listed replicas that are usable, resting or leaving
+ * @param queueWaitMillis for each service gathered here, how long a new piece waits
+ * @param repeatsLeft for each service that has had requests, extra requests that may be sent now
+ */
+record Beliefs(
+    long configurationVersion,
+    Map<String, Integer> replicasByState,
+    Map<String, Integer> queueWaitMillis,
+    Map<String, Integer> repeatsLeft) {
+
+  /** Beliefs of an instance that has learned nothing. */
+  static final Beliefs NONE = new Beliefs(-1, Map.of(), Map.of(), Map.of());
+
+  Beliefs {
+    replicasByState = Map.copyOf(replicasByState);
+    queueWaitMillis = Map.copyOf(queueWaitMillis);
+    repeatsLeft = Map.copyOf(repeatsLeft);
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -88,6 +89,7 @@
   private final ReplicaBook replicas;
   private final EnginePlaces engines;
   private final PieceWork pieces;
+  private final RequestContext context;
   private final ClientHandler clients;
   private final Feed configuration;
   private final Feed listed;
@@ -97,6 +99,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile boolean leaving;
   private volatile boolean ready;
+  private volatile Beliefs beliefs = Beliefs.NONE;
   private ServingState state;
   private long stateOffset = -1;
 
@@ -120,7 +123,7 @@
     engines = new EnginePlaces(fellows, net, replicas, loop);
     pieces = new PieceWork(fellows, net, replicas, client, loop, log);
     pieces.onWaitsChanged(this::tellWaitsSoon);
-    RequestContext context =
+    context =
         RequestContext.create(
             loop, client, replicas, engines, pieces, fellows, settings.bounds(), log, metrics);
     clients = new ClientHandler(context);
@@ -187,6 +190,29 @@
         "arbutusspar_waiting_pieces",
         "Pieces that wait here for a call, for the requests of all instances",
         this::waitingPieces);
+    metrics.gauge(
+        "arbutusspar_configuration_version",
+        "Version of the configuration in force, -1 if there is none",
+        () -> beliefs.configurationVersion());
+    metrics.gauges(
+        "arbutusspar_replicas",
+        "Listed replicas by state: usable, resting after failures, leaving",
+        "state",
+        () -> beliefs.replicasByState());
+    metrics.gauges(
+        "arbutusspar_queue_wait_milliseconds",
+        "Expected wait of a new piece, for each service gathered here",
+        "service",
+        () -> beliefs.queueWaitMillis());
+    metrics.gauges(
+        "arbutusspar_repeats_left",
+        "Requests that may be sent to a service once more now",
+        "service",
+        () -> beliefs.repeatsLeft());
+    metrics.gauge(
+        "arbutusspar_ready",
+        "1 if the instance takes requests of clients",
+        () -> ready && !leaving ? 1 : 0);
     metrics.gauge(
         "arbutusspar_live_instances",
         "Instances heard of lately, this one included",
@@ -304,6 +330,17 @@
     }
   }
 
+  private void updateBeliefs() {
+    Map<String, Integer> waits = new HashMap<>();
+    pieces.waits().forEach((service, each) -> waits.put(service, each.millis(false)));
+    beliefs =
+        new Beliefs(
+            state == null ? -1 : state.version(),
+            replicas.countByState(loop.now()),
+            waits,
+            context.repeatsLeft());
+  }
+
   private void updateBeat() {
     Set<String> roles = new HashSet<>(pieces.roles());
     roles.addAll(engines.roles());
@@ -471,6 +508,7 @@
     @Override
     public void onBeat() {
       updateBeat();
+      updateBeliefs();
     }
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMetrics.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMetrics.java
@@ -7,7 +7,9 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /** Metrics of an instance on the platform, in a registry of its own. */
 final class GatewayMetrics {
@@ -52,6 +54,16 @@
         .register(registry);
   }
 
+  /** Registers a gauge with one label, whose values are read when metrics are fetched. */
+  void gauges(String name, String help, String label, Supplier<Map<String, Integer>> values) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .labelNames(label)
+        .callback(callback -> values.get().forEach((key, value) -> callback.call(value, key)))
+        .register(registry);
+  }
+
   void onOutcome(String outcome, String reason) {
     outcomes.labelValues(outcome, reason).inc();
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -110,8 +110,22 @@
 
   /** Takes the right to send a request to a service once more. */
   boolean tryRepeat(String service) {
-    int instances = Math.max(1, Math.max(fellows.all().size() + 1, fellows.liveCount(loop.now())));
-    return budget(service).tryTake(bounds.retryAllowance(), instances, loop.now());
+    return budget(service).tryTake(bounds.retryAllowance(), knownInstances(), loop.now());
+  }
+
+  /** Returns for each service how many requests may be sent once more now. */
+  Map<String, Integer> repeatsLeft() {
+    Map<String, Integer> left = new HashMap<>();
+    budgets.forEach(
+        (service, budget) ->
+            left.put(
+                service, (int) budget.left(bounds.retryAllowance(), knownInstances(), loop.now())));
+    return left;
+  }
+
+  /** Returns the number of instances, live or not, so that a partition enlarges no budget. */
+  private int knownInstances() {
+    return fellows.all().size() + 1;
   }
 
   private WindowedRetryBudget budget(String service) {
