One record of roles, one way to cancel and to tell, beliefs read from one place

PieceWork and EnginePlaces each kept the last use of a role with the same window; PieceGatherer cancelled by request and by origin in two copies; three places built the same outcomes without a result, and expired pieces went out one message each; the gauges of live instances and waiting pieces read the loop's maps from the thread that serves metrics, beside Beliefs, which exist for that; waits were reckoned twice a beat. Change: RecentRoles serves both; one private cancel takes a predicate; tellOriginsOfNone batches by origin; both gauges come from Beliefs (as of the last beat), and waits from the beat just made.

--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/fellow/RecentRoles.java
@@ -0,0 +1,48 @@
+package org.arbutusspar.core.fellow;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.arbutusspar.core.Nanos;
+
+/** The roles that an instance has had work in lately, to be named in its beats. */
+public final class RecentRoles {
+
+  /** An instance has a role until it has had no work in it for this long. */
+  private static final long ROLE_NANOS = Nanos.ofMillis(5_000);
+
+  private final Map<String, Long> usedAt = new HashMap<>();
+
+  private RecentRoles() {}
+
+  /** Returns a record without roles. */
+  public static RecentRoles create() {
+    return new RecentRoles();
+  }
+
+  /**
+   * Notes work in a role.
+   *
+   * @param role name of the role, not null
+   * @param now current time
+   * @return when there was work in it before, or empty if there was none
+   */
+  public OptionalLong used(String role, long now) {
+    Long before = usedAt.put(role, now);
+    return before == null ? OptionalLong.empty() : OptionalLong.of(before);
+  }
+
+  /** Returns the names of the roles that the instance has. */
+  public Set<String> roles(long now) {
+    Set<String> roles = new HashSet<>();
+    usedAt.forEach(
+        (role, at) -> {
+          if (now - at < ROLE_NANOS) {
+            roles.add(role);
+          }
+        });
+    return roles;
+  }
+}
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceGatherer.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.PieceLimits;
@@ -134,15 +135,7 @@
    * @return number of waiting pieces that were dropped
    */
   public int cancel(String requestId) {
-    int before = queue.size();
-    queue.keySet().removeIf(id -> id.requestId().equals(requestId));
-    for (PieceCall call : calls.values()) {
-      call.pieces().stream()
-          .map(Piece::id)
-          .filter(id -> id.requestId().equals(requestId))
-          .forEach(cancelledInCall::add);
-    }
-    return before - queue.size();
+    return cancelAll(piece -> piece.id().requestId().equals(requestId));
   }
 
   /** Removes all waiting pieces and returns them, in the order in which they came. */
@@ -160,12 +153,14 @@
    * @return number of waiting pieces that were dropped
    */
   public int cancelOrigin(String origin) {
+    return cancelAll(piece -> piece.origin().equals(origin));
+  }
+
+  private int cancelAll(Predicate<Piece> unwanted) {
     int before = queue.size();
-    queue.values().removeIf(piece -> piece.origin().equals(origin));
+    queue.values().removeIf(unwanted);
     for (PieceCall call : calls.values()) {
-      call.pieces().stream()
-          .filter(piece -> piece.origin().equals(origin))
-          .forEach(piece -> cancelledInCall.add(piece.id()));
+      call.pieces().stream().filter(unwanted).forEach(piece -> cancelledInCall.add(piece.id()));
     }
     return before - queue.size();
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Beliefs.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Beliefs.java
@@ -9,16 +9,20 @@
  * @param configurationVersion version of the configuration in force, -1 if there is none
  * @param replicasByState number of listed replicas that are usable, resting or leaving
  * @param queueWaitMillis for each service gathered here, how long a new piece waits
+ * @param liveInstances instances heard of lately, this one included
+ * @param waitingPieces pieces that wait here, for the requests of all instances
  * @param repeatsLeft for each service that has had requests, extra requests that may be sent now
  */
 record Beliefs(
     long configurationVersion,
     Map<String, Integer> replicasByState,
     Map<String, Integer> queueWaitMillis,
+    int liveInstances,
+    int waitingPieces,
     Map<String, Integer> repeatsLeft) {
 
   /** Beliefs of an instance that has learned nothing. */
-  static final Beliefs NONE = new Beliefs(-1, Map.of(), Map.of(), Map.of());
+  static final Beliefs NONE = new Beliefs(-1, Map.of(), Map.of(), 1, 0, Map.of());
 
   Beliefs {
     replicasByState = Map.copyOf(replicasByState);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlaces.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlaces.java
@@ -1,13 +1,12 @@
 package org.arbutusspar.entry.gateway;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.fellow.FellowTable;
+import org.arbutusspar.core.fellow.RecentRoles;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ReplicaBook;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -22,9 +21,6 @@
   /** Longest wait for the instance that places. */
   private static final long ANSWER_MILLIS = 60;
 
-  /** An instance has the role of a placer until it has placed nothing for this long. */
-  private static final long ROLE_MILLIS = 5_000;
-
   /** Prefix of the name by which the instance that places for a service is chosen. */
   private static final String ROLE = "place/";
 
@@ -33,7 +29,7 @@
   private final ReplicaBook replicas;
   private final DeadlineLoop loop;
   private final Map<String, EnginePlacer> placers = new HashMap<>();
-  private final Map<String, Long> usedAt = new HashMap<>();
+  private final RecentRoles roles = RecentRoles.create();
   private final Map<String, Asked> asked = new HashMap<>();
   private final Map<String, String> placedBy = new HashMap<>();
 
@@ -46,14 +42,7 @@
 
   /** Returns the roles of a placer that this instance has had work in lately. */
   Set<String> roles() {
-    Set<String> roles = new HashSet<>();
-    usedAt.forEach(
-        (service, at) -> {
-          if (loop.now() - at < Nanos.ofMillis(ROLE_MILLIS)) {
-            roles.add(ROLE + service);
-          }
-        });
-    return roles;
+    return roles.roles(loop.now());
   }
 
   /** Takes a new list of replicas. */
@@ -77,7 +66,7 @@
         !placer.equals(fellows.self().name())
             && net.send(placer, new FellowMessage.Place(service, request));
     if (!sent) {
-      usedAt.put(service, loop.now());
+      roles.used(ROLE + service, loop.now());
       placedBy.put(request.id(), fellows.self().name());
       found.accept(placer(service).place(request, loop.now()));
       return;
@@ -131,7 +120,7 @@
   /** Takes a message of another instance. */
   void onMessage(String name, FellowMessage message) {
     if (message instanceof FellowMessage.Place place) {
-      usedAt.put(place.service(), loop.now());
+      roles.used(ROLE + place.service(), loop.now());
       Optional<UpstreamReplica> replica =
           placer(place.service()).place(place.request(), loop.now());
       String id = replica.map(UpstreamReplica::id).orElse("");
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.fellow.Beat;
@@ -189,7 +190,7 @@
     metrics.gauge(
         "arbutusspar_waiting_pieces",
         "Pieces that wait here for a call, for the requests of all instances",
-        this::waitingPieces);
+        () -> beliefs.waitingPieces());
     metrics.gauge(
         "arbutusspar_configuration_version",
         "Version of the configuration in force, -1 if there is none",
@@ -216,7 +217,7 @@
     metrics.gauge(
         "arbutusspar_live_instances",
         "Instances heard of lately, this one included",
-        () -> fellows.liveCount(loop.now()));
+        () -> beliefs.liveInstances());
   }
 
   private void announce() {
@@ -332,12 +333,14 @@
 
   private void updateBeliefs() {
     Map<String, Integer> waits = new HashMap<>();
-    pieces.waits().forEach((service, each) -> waits.put(service, each.millis(false)));
+    fellows.own().waits().forEach((service, each) -> waits.put(service, each.millis(false)));
     beliefs =
         new Beliefs(
             state == null ? -1 : state.version(),
             replicas.countByState(loop.now()),
             waits,
+            fellows.liveCount(loop.now()),
+            pieces.waiting(),
             context.repeatsLeft());
   }
 
@@ -443,7 +446,7 @@
 
   /** Returns the number of pieces that wait in the queues of this instance. */
   int waitingPieces() {
-    return pieces.waiting();
+    return CompletableFuture.supplyAsync(pieces::waiting, loop::post).join();
   }
 
   /** Returns the metrics in the Prometheus text format. */
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceWork.java
@@ -3,16 +3,15 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.fellow.FellowTable;
+import org.arbutusspar.core.fellow.RecentRoles;
 import org.arbutusspar.core.placement.ReplicaBook;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.PieceLimits;
@@ -49,9 +48,6 @@
 
   private static final long EXPIRY_MILLIS = 100;
 
-  /** An instance has the role of a gatherer until it has had no pieces for this long. */
-  private static final long ROLE_MILLIS = 5_000;
-
   /** A gatherer that had no pieces for this long asks the replicas how much room they have. */
   private static final long STALE_MILLIS = 2_000;
 
@@ -65,8 +61,8 @@
   private final DeadlineLoop loop;
   private final EventLog log;
   private final String self;
-  private final Map<String, PieceGatherer> gatherers = new ConcurrentHashMap<>();
-  private final Map<String, Long> usedAt = new HashMap<>();
+  private final Map<String, PieceGatherer> gatherers = new HashMap<>();
+  private final RecentRoles roles = RecentRoles.create();
   private final Map<PieceId, Pending> pending = new LinkedHashMap<>();
   private final List<String> toRelease = new ArrayList<>();
   private final SentReleases sentReleases =
@@ -216,13 +212,7 @@
 
   /** Returns the services whose pieces this instance has gathered lately. */
   Set<String> roles() {
-    Set<String> roles = new HashSet<>();
-    for (String service : gatherers.keySet()) {
-      if (loop.now() - usedAt.get(service) < Nanos.ofMillis(ROLE_MILLIS)) {
-        roles.add(service);
-      }
-    }
-    return roles;
+    return roles.roles(loop.now());
   }
 
   /** Takes a message of another instance. */
@@ -294,9 +284,7 @@
   private void gather(String service, List<Piece> pieces) {
     Optional<PieceLimits> limits = state == null ? Optional.empty() : state.pieceLimits(service);
     if (limits.isEmpty()) {
-      tellOrigins(
-          pieces,
-          pieces.stream().map(p -> PieceOutcome.none(p.id(), PieceOutcome.FAILED)).toList());
+      tellOriginsOfNone(pieces, PieceOutcome.FAILED);
       return;
     }
     PieceGatherer gatherer = gatherers.get(service);
@@ -305,8 +293,8 @@
       gatherer.replicas(replicas.usable(service));
       gatherers.put(service, gatherer);
     }
-    Long before = usedAt.put(service, loop.now());
-    if (before == null || loop.now() - before > Nanos.ofMillis(STALE_MILLIS)) {
+    OptionalLong before = roles.used(service, loop.now());
+    if (before.isEmpty() || loop.now() - before.getAsLong() > Nanos.ofMillis(STALE_MILLIS)) {
       askForRoom(gatherer);
     }
     pieces.forEach(gatherer::submit);
@@ -366,13 +354,13 @@
     List<Piece> waiting = gatherer.takeWaiting();
     log.write(
         "queue-handed-over", "service", gatherer.service(), "to", holder, "pieces", waiting.size());
-    tellOrigins(
-        waiting, waiting.stream().map(p -> PieceOutcome.none(p.id(), PieceOutcome.MOVED)).toList());
+    tellOriginsOfNone(waiting, PieceOutcome.MOVED);
   }
 
   private void pump(PieceGatherer gatherer) {
     long now = loop.now();
-    for (Piece late : gatherer.expire(now)) {
+    List<Piece> expired = gatherer.expire(now);
+    for (Piece late : expired) {
       log.write(
           "piece-given-up",
           "id",
@@ -383,8 +371,8 @@
           gatherer.waiting(),
           "left_ms",
           Math.round(Nanos.toMillis(late.deadline() - now)));
-      tell(late.origin(), List.of(PieceOutcome.none(late.id(), PieceOutcome.LATE)));
     }
+    tellOriginsOfNone(expired, PieceOutcome.LATE);
     gatherer.nextCalls(now).forEach(call -> send(gatherer, call));
     if (gatherer.waiting() > 0) {
       scheduleExpiry();
@@ -458,6 +446,10 @@
     pump(gatherer);
   }
 
+  private void tellOriginsOfNone(List<Piece> pieces, String reason) {
+    tellOrigins(pieces, pieces.stream().map(p -> PieceOutcome.none(p.id(), reason)).toList());
+  }
+
   private void tellOrigins(List<Piece> pieces, List<PieceOutcome> outcomes) {
     Map<PieceId, String> origins = new HashMap<>();
     pieces.forEach(piece -> origins.put(piece.id(), piece.origin()));
@@ -494,7 +486,7 @@
     each.requester.onPiece(outcome);
   }
 
-  /** Returns the number of pieces that wait for a call; may be called on any thread. */
+  /** Returns the number of pieces that wait for a call. */
   int waiting() {
     return gatherers.values().stream().mapToInt(PieceGatherer::waiting).sum();
   }
