--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/InstanceRanking.java
@@ -0,0 +1,32 @@
+package org.arbutusspar.core.peer;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.arbutusspar.core.balancing.Rendezvous;
+
+/**
+ * Order in which instances take on work for the whole deployment: those with the most processing
+ * capacity first, and equal ones by a hash of their names. Instances that know the same instances
+ * agree on the order.
+ */
+final class InstanceRanking {
+
+  private InstanceRanking() {}
+
+  /**
+   * Returns instances in the order of this ranking.
+   *
+   * @param instances the instances, not null
+   * @return the same instances, ordered
+   */
+  static List<Peer> order(Collection<Peer> instances) {
+    return instances.stream()
+        .sorted(
+            Comparator.comparingInt(Peer::capacity)
+                .reversed()
+                .thenComparingLong(peer -> Rendezvous.hash(peer.name()))
+                .thenComparing(Peer::name))
+        .toList();
+  }
+}
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/Peer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/Peer.java
@@ -12,9 +12,15 @@
  * @param dataCentre data centre in which the instance runs
  * @param links endpoint on which it accepts links of its peers
  * @param clients endpoint on which it accepts clients
+ * @param capacity processing capacity of its machine, in percent of a core
  */
 public record Peer(
-    String name, long incarnation, DataCentre dataCentre, Endpoint links, Endpoint clients) {
+    String name,
+    long incarnation,
+    DataCentre dataCentre,
+    Endpoint links,
+    Endpoint clients,
+    int capacity) {
 
   /** Checks the components. */
   public Peer {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerStatus.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerStatus.java
@@ -9,22 +9,20 @@
  *
  * @param ready whether it accepts requests
  * @param leaving whether it is shutting down
- * @param configurationOffset log offset of its configuration in force; -1 if it has none
- * @param replicasOffset offset up to which it has consumed the topic of replicas; -1 if it has
- *     consumed nothing
+ * @param store its contact with the store and the versions of its tables
  * @param waits expected queue wait of a new piece, by name of each service that it batches
  * @param roles names of the roles that it holds, such as a service whose pieces it batches
  */
 public record PeerStatus(
     boolean ready,
     boolean leaving,
-    long configurationOffset,
-    long replicasOffset,
+    StoreView store,
     Map<String, QueueWait> waits,
     Set<String> roles) {
 
   /** Status of an instance from which no heartbeat has been received. */
-  public static final PeerStatus UNKNOWN = new PeerStatus(false, false, -1, -1, Map.of(), Set.of());
+  public static final PeerStatus UNKNOWN =
+      new PeerStatus(false, false, StoreView.NONE, Map.of(), Set.of());
 
   /** Copies the collections. */
   public PeerStatus {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerTable.java
@@ -257,22 +257,76 @@
   }
 
   /**
-   * Returns the live peer with the highest offset of the configuration or of the list of replicas.
+   * Returns the last status of an instance.
+   *
+   * @param name name of the instance, not null
+   * @return the status; {@link PeerStatus#UNKNOWN} if the instance is not known
+   */
+  public PeerStatus status(String name) {
+    Entry entry = entries.get(name);
+    return name.equals(self.name()) ? ownStatus : entry == null ? PeerStatus.UNKNOWN : entry.status;
+  }
+
+  /**
+   * Returns the instances that can take on work for the whole deployment, the most suitable first:
+   * this instance and the live peers, without those that are leaving.
+   *
+   * @param now current monotonic time, in nanoseconds
+   * @return the instances in the order of their capacity; equal ones in an order on which all
+   *     instances agree
+   */
+  public List<Peer> ranked(long now) {
+    List<Peer> candidates = new ArrayList<>();
+    if (!ownStatus.leaving()) {
+      candidates.add(self);
+    }
+    entries.values().stream()
+        .filter(entry -> isLive(entry, now) && !entry.status.leaving())
+        .forEach(entry -> candidates.add(entry.peer));
+    return InstanceRanking.order(candidates);
+  }
+
+  /**
+   * Returns the time since the store last answered a live peer, as far as heartbeats tell.
    *
-   * @param ofConfiguration true to compare configurations, false to compare lists of replicas
    * @param now current monotonic time, in nanoseconds
-   * @return the peer, or empty if none has a higher offset than this instance
+   * @return the least age over all live peers in nanoseconds; {@link Long#MAX_VALUE} if there is
+   *     none
    */
-  public Optional<Peer> mostAdvanced(boolean ofConfiguration, long now) {
+  public long storeContactAge(long now) {
     return entries.values().stream()
         .filter(entry -> isLive(entry, now))
-        .filter(entry -> offset(entry.status, ofConfiguration) > offset(ownStatus, ofConfiguration))
-        .max(Comparator.comparingLong(entry -> offset(entry.status, ofConfiguration)))
-        .map(entry -> entry.peer);
+        .mapToLong(
+            entry ->
+                now
+                    - entry.lastHeartbeatNanos
+                    + Nanos.ofMillis(entry.status.store().contactAgeMillis()))
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  /**
+   * Returns the live peers whose copy of a table has changes that this instance lacks.
+   *
+   * @param table the table, not null
+   * @param offset offset up to which this instance has the table
+   * @param now current monotonic time, in nanoseconds
+   * @return those of these peers that have the latest change
+   */
+  public List<Peer> aheadOf(TableName table, long offset, long now) {
+    List<Entry> ahead =
+        entries.values().stream()
+            .filter(entry -> isLive(entry, now) && changeOffset(entry, table) > offset)
+            .toList();
+    long latest = ahead.stream().mapToLong(entry -> changeOffset(entry, table)).max().orElse(0);
+    return ahead.stream()
+        .filter(entry -> changeOffset(entry, table) == latest)
+        .map(entry -> entry.peer)
+        .toList();
   }
 
-  private static long offset(PeerStatus status, boolean ofConfiguration) {
-    return ofConfiguration ? status.configurationOffset() : status.replicasOffset();
+  private static long changeOffset(Entry entry, TableName table) {
+    return entry.status.store().version(table).changeOffset();
   }
 
   /**
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
@@ -0,0 +1,300 @@
+package org.arbutusspar.core.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import org.apache.commons.lang3.Validate;
+
+/**
+ * The newest row of each key of a topic, filled from the store or from a copy of a peer.
+ *
+ * <p>Load pattern: most records of a topic repeat the row that they replace, such as the heartbeats
+ * of replicas, and hundreds of instances need the table. The table keeps the offset of the last
+ * record that changed anything, so that a peer can tell from two numbers whether its own copy is up
+ * to date, and needs only the rows that changed since.
+ *
+ * <p>A table never steps back: a record or a copy at a lower offset than the table's has no effect.
+ * Not thread-safe.
+ */
+public final class SharedTable {
+
+  /** Maximum number of removed keys that are remembered for copies. */
+  private static final int MAX_REMOVALS = 1_024;
+
+  private final BiPredicate<byte[], byte[]> sameContent;
+  private final Map<String, Row> rows = new HashMap<>();
+
+  /** Offset of the record that removed a key, by key, in the order of the removals. */
+  private final Map<String, Long> removals = new LinkedHashMap<>();
+
+  /** Offset of the record that removes a key, by key, while removals are held. */
+  private final Map<String, Long> heldRemovals = new HashMap<>();
+
+  private long nextOffset = -1;
+  private long changeOffset = -1;
+
+  /** Lowest offset since which all removals are remembered. */
+  private long firstCopyOffset = Long.MAX_VALUE;
+
+  private boolean holdingRemovals;
+
+  private SharedTable(BiPredicate<byte[], byte[]> sameContent) {
+    this.sameContent = sameContent;
+  }
+
+  /**
+   * Returns an empty table.
+   *
+   * @param sameContent whether two values of a key mean the same, so that replacing one by the
+   *     other is no change; not null
+   * @return the table
+   */
+  public static SharedTable create(BiPredicate<byte[], byte[]> sameContent) {
+    return new SharedTable(Objects.requireNonNull(sameContent, "sameContent"));
+  }
+
+  /** Returns the offset from which to read next, or -1 if nothing has been read. */
+  public long offset() {
+    return nextOffset;
+  }
+
+  /**
+   * Returns the version for peers. While removals are held, its offset does not pass them, so that
+   * peers that rely on this table are told of them later.
+   */
+  public TableVersion version() {
+    long settled =
+        heldRemovals.values().stream().mapToLong(Long::longValue).min().orElse(nextOffset);
+    return new TableVersion(Math.min(settled, nextOffset), changeOffset);
+  }
+
+  /** Returns the value of a key, or empty if there is none. */
+  public Optional<byte[]> value(String key) {
+    return Optional.ofNullable(rows.get(key)).map(row -> row.value);
+  }
+
+  /** Returns the offset of the record that last changed a row, or -1 if there is no such row. */
+  public long rowOffset(String key) {
+    Row row = rows.get(key);
+    return row == null ? -1 : row.changedAt;
+  }
+
+  /** Returns the value of each key. */
+  public Map<String, byte[]> values() {
+    Map<String, byte[]> values = new HashMap<>();
+    rows.forEach((key, row) -> values.put(key, row.value));
+    return values;
+  }
+
+  /**
+   * Applies records that were read from {@link #offset} on.
+   *
+   * @param records the records in the order of their offsets, not null
+   * @param endOffset offset after the last record
+   * @return whether the table has changed
+   */
+  public boolean append(List<TableRecord> records, long endOffset) {
+    long from = nextOffset;
+    boolean changed = false;
+    for (TableRecord record : records) {
+      if (record.offset() >= from) {
+        changed |= apply(record);
+      }
+    }
+    nextOffset = Math.max(nextOffset, endOffset);
+    return changed;
+  }
+
+  /**
+   * Replaces the table by the newest record of each key. The records may be newer than the offset,
+   * since they are read in pages. Has no effect if the table has been read farther.
+   *
+   * @param records the newest record of each key, not null
+   * @param endOffset end of the topic before the first page was read
+   * @return whether the table has changed
+   */
+  public boolean replace(List<TableRecord> records, long endOffset) {
+    if (endOffset < nextOffset) {
+      return false;
+    }
+    Set<String> newest = new HashSet<>();
+    records.forEach(record -> newest.add(record.key()));
+    boolean changed = false;
+    for (String key : List.copyOf(rows.keySet())) {
+      if (!newest.contains(key)) {
+        changed |= remove(key, endOffset - 1);
+      }
+    }
+    for (TableRecord record : records) {
+      changed |= apply(record);
+    }
+    if (nextOffset < 0) {
+      changeOffset = endOffset;
+      firstCopyOffset = endOffset;
+    }
+    nextOffset = endOffset;
+    return changed;
+  }
+
+  private boolean apply(TableRecord record) {
+    Row current = rows.get(record.key());
+    if (current != null && current.newestAt >= record.offset()) {
+      return false;
+    }
+    if (record.value().isEmpty()) {
+      return current != null && remove(record.key(), record.offset());
+    }
+    heldRemovals.remove(record.key());
+    byte[] value = record.value().get();
+    if (current != null && sameContent.test(current.value, value)) {
+      current.newestAt = record.offset();
+      return false;
+    }
+    rows.put(record.key(), new Row(value, record.offset()));
+    removals.remove(record.key());
+    markChanged(record.offset());
+    return true;
+  }
+
+  /** Removes a row, or defers that while removals are held. Returns whether it was removed now. */
+  private boolean remove(String key, long offset) {
+    if (holdingRemovals) {
+      heldRemovals.putIfAbsent(key, offset);
+      return false;
+    }
+    rows.remove(key);
+    rememberRemoval(key, offset);
+    markChanged(offset);
+    return true;
+  }
+
+  private void rememberRemoval(String key, long offset) {
+    removals.remove(key);
+    removals.put(key, offset);
+    while (removals.size() > MAX_REMOVALS) {
+      String oldest = removals.keySet().iterator().next();
+      firstCopyOffset = Math.max(firstCopyOffset, removals.remove(oldest) + 1);
+    }
+  }
+
+  private void markChanged(long offset) {
+    changeOffset = Math.max(changeOffset, offset + 1);
+  }
+
+  /** Defers removals until {@link #releaseRemovals}. */
+  public void holdRemovals() {
+    holdingRemovals = true;
+  }
+
+  /**
+   * Applies the deferred removals, except those of keys that have a newer record.
+   *
+   * @return whether the table has changed
+   */
+  public boolean releaseRemovals() {
+    holdingRemovals = false;
+    Map<String, Long> held = new HashMap<>(heldRemovals);
+    heldRemovals.clear();
+    boolean changed = false;
+    for (Map.Entry<String, Long> removal : held.entrySet()) {
+      changed |= rows.containsKey(removal.getKey()) && remove(removal.getKey(), removal.getValue());
+    }
+    return changed;
+  }
+
+  /**
+   * Returns the rows that a peer lacks.
+   *
+   * @param since offset up to which the peer has read, -1 if it has read nothing
+   * @return the rows and removals since then; all rows if not all removals are remembered
+   */
+  public TableCopy copySince(long since) {
+    boolean complete = since < firstCopyOffset;
+    List<TableCopy.Row> copied = new ArrayList<>();
+    rows.forEach(
+        (key, row) -> {
+          if (complete || row.changedAt >= since) {
+            copied.add(new TableCopy.Row(key, row.value, row.changedAt));
+          }
+        });
+    List<TableCopy.Removal> removed = new ArrayList<>();
+    removals.forEach(
+        (key, offset) -> {
+          if (!complete && offset >= since) {
+            removed.add(new TableCopy.Removal(key, offset));
+          }
+        });
+    return new TableCopy(complete, version(), copied, removed);
+  }
+
+  /**
+   * Applies the copy of a peer that has read farther; otherwise has no effect.
+   *
+   * @param copy rows that changed since the offset of this table or an earlier one, or all rows;
+   *     not null
+   * @return whether the copy was applied
+   */
+  public boolean merge(TableCopy copy) {
+    Validate.isTrue(copy.complete() || nextOffset >= 0, "an empty table needs a complete copy");
+    if (copy.version().offset() <= nextOffset) {
+      return false;
+    }
+    if (copy.complete()) {
+      rows.clear();
+      removals.clear();
+      heldRemovals.clear();
+      firstCopyOffset = copy.version().offset();
+    }
+    for (TableCopy.Row row : copy.rows()) {
+      rows.put(row.key(), new Row(row.value(), row.offset()));
+      removals.remove(row.key());
+      heldRemovals.remove(row.key());
+    }
+    for (TableCopy.Removal removal : copy.removed()) {
+      rows.remove(removal.key());
+      heldRemovals.remove(removal.key());
+      rememberRemoval(removal.key(), removal.offset());
+    }
+    nextOffset = copy.version().offset();
+    changeOffset = Math.max(changeOffset, copy.version().changeOffset());
+    return true;
+  }
+
+  /**
+   * Advances this table to the version of a peer if both have the same rows.
+   *
+   * @param peerVersion version of the peer's table, not null
+   * @return true if this table has all rows of the peer's; false if the peer's has changed since
+   */
+  public boolean follow(TableVersion peerVersion) {
+    if (nextOffset < peerVersion.changeOffset()) {
+      return false;
+    }
+    nextOffset = Math.max(nextOffset, peerVersion.offset());
+    return true;
+  }
+
+  /** Value of a key. */
+  private static final class Row {
+    private final byte[] value;
+
+    /** Offset of the record that last changed the value. */
+    private final long changedAt;
+
+    /** Offset of the newest record of the key. */
+    private long newestAt;
+
+    private Row(byte[] value, long offset) {
+      this.value = value;
+      this.changedAt = offset;
+      this.newestAt = offset;
+    }
+  }
+}
--- a/platform/src/main/java/org/arbutusspar/platform/KeyedRecord.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/TableRecord.java
@@ -1,19 +1,19 @@
-package org.arbutusspar.platform;
+package org.arbutusspar.core.peer;
 
 import java.util.Objects;
 import java.util.Optional;
 
 /**
- * A record of a keyed topic of the store. A later record of the same key replaces it.
+ * A record of a topic. A later record of the same key replaces it.
  *
  * @param key the key
  * @param value the value, not to be modified; empty if the record removes the key
  * @param offset offset of the record in its topic
  */
-public record KeyedRecord(String key, Optional<byte[]> value, long offset) {
+public record TableRecord(String key, Optional<byte[]> value, long offset) {
 
   /** Checks the components. */
-  public KeyedRecord {
+  public TableRecord {
     Objects.requireNonNull(key, "key");
     Objects.requireNonNull(value, "value");
   }
--- /dev/null
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/FewInstancesReadTest.java
@@ -0,0 +1,125 @@
+package org.arbutusspar.core.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.balancing.Endpoint;
+import org.arbutusspar.core.id.DataCentre;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards that the calls to the store do not grow with the number of instances, and that each
+ * instance still learns of changes when readers fail or the store rejects them.
+ */
+class FewInstancesReadTest {
+
+  private static final StoreReaders READERS = FewInstancesRead.create();
+
+  /** Instances with even numbers have the larger machines. */
+  private static Peer peer(int number) {
+    return new Peer(
+        "e" + number,
+        1,
+        DataCentre.of("a"),
+        new Endpoint("10.0.0.1", 7_000 + number),
+        new Endpoint("10.0.0.1", 8_000 + number),
+        number % 2 == 0 ? 150 : 36);
+  }
+
+  private static PeerStatus status(boolean unreachable, long contactAgeMillis) {
+    StoreView view = new StoreView(unreachable, contactAgeMillis, Map.of());
+    return new PeerStatus(true, false, view, Map.of(), Set.of());
+  }
+
+  /** Returns the table of each instance by its name; the given instances cannot reach the store. */
+  private static Map<String, PeerTable> tables(int count, Set<String> unreachable) {
+    Map<String, PeerTable> tables = new HashMap<>();
+    for (int self = 1; self <= count; self++) {
+      PeerTable table = PeerTable.create(peer(self), 1_000);
+      table.ownStatus(status(unreachable.contains("e" + self), 0));
+      for (int other = 1; other <= count; other++) {
+        if (other != self) {
+          boolean rejected = unreachable.contains("e" + other);
+          table.discover(peer(other));
+          table.onHeartbeat("e" + other, status(rejected, rejected ? 9_000 : 0), 0);
+        }
+      }
+      tables.put("e" + self, table);
+    }
+    return tables;
+  }
+
+  private static Set<String> readers(Map<String, PeerTable> tables, StoreRole role, long now) {
+    Set<String> readers = new TreeSet<>();
+    tables.forEach(
+        (name, table) -> {
+          if (READERS.role(table, now) == role) {
+            readers.add(name);
+          }
+        });
+    return readers;
+  }
+
+  /** Compares with the baseline, whose readers grow with the instances. */
+  @Test
+  void sameNumberReadsAtAnySize() {
+    for (int count : new int[] {9, 95, 300}) {
+      Map<String, PeerTable> tables = tables(count, Set.of());
+      assertEquals(FewInstancesRead.READERS, readers(tables, StoreRole.READER, 0).size());
+      assertEquals(Set.of(), readers(tables, StoreRole.FALLBACK, 0));
+      EveryInstanceReads baseline = EveryInstanceReads.create();
+      assertTrue(tables.values().stream().allMatch(t -> baseline.role(t, 0) == StoreRole.READER));
+    }
+  }
+
+  @Test
+  void instancesWithLargeMachinesRead() {
+    for (String name : readers(tables(95, Set.of()), StoreRole.READER, 0)) {
+      assertEquals(0, Integer.parseInt(name.substring(1)) % 2);
+    }
+  }
+
+  @Test
+  void instancesThatReachTheStoreReplaceThoseThatDoNot() {
+    Set<String> before = readers(tables(95, Set.of()), StoreRole.READER, 0);
+    Map<String, PeerTable> tables = tables(95, before);
+    Set<String> after = new HashSet<>(readers(tables, StoreRole.READER, 0));
+    assertTrue(after.containsAll(before), "they keep trying");
+    after.removeAll(before);
+    assertEquals(FewInstancesRead.READERS, after.size());
+    assertNotEquals(before, after);
+  }
+
+  @Test
+  void everyInstanceReadsOnceNoPeerHasHadContactForLong() {
+    PeerTable table = tables(95, Set.of()).get("e95");
+    long silence = FewInstancesRead.MAX_CONTACT_AGE_NANOS - Nanos.ofMillis(900);
+    for (int other = 1; other < 95; other++) {
+      table.onHeartbeat("e" + other, status(false, (long) Nanos.toMillis(silence)), 0);
+    }
+    assertEquals(StoreRole.FOLLOWER, READERS.role(table, Nanos.ofMillis(800)));
+    assertEquals(StoreRole.FALLBACK, READERS.role(table, Nanos.ofMillis(950)));
+  }
+
+  @Test
+  void leavingInstanceDoesNotRead() {
+    Map<String, PeerTable> tables = tables(9, Set.of());
+    String reader = readers(tables, StoreRole.READER, 0).iterator().next();
+    PeerTable table = tables.get(reader);
+    table.ownStatus(new PeerStatus(true, true, StoreView.NONE, Map.of(), Set.of()));
+    assertEquals(StoreRole.FOLLOWER, READERS.role(table, 0));
+  }
+
+  @Test
+  void instanceWithoutPeersReads() {
+    PeerTable alone = PeerTable.create(peer(1), 1_000);
+    assertEquals(StoreRole.READER, READERS.role(alone, 0));
+  }
+}
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/PeerTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/PeerTableTest.java
@@ -8,7 +8,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.arbutusspar.core.Nanos;
@@ -33,11 +32,17 @@
         incarnation,
         number % 2 == 0 ? LOCAL : REMOTE,
         new Endpoint("10.0.0." + number, 7_000),
-        new Endpoint("10.0.0." + number, 8_000));
+        new Endpoint("10.0.0." + number, 8_000),
+        100);
+  }
+
+  private static StoreView view(long offset) {
+    TableVersion version = new TableVersion(offset, offset);
+    return new StoreView(false, 0, Map.of(TableName.CONFIGURATION, version));
   }
 
   private static PeerStatus status(boolean ready, boolean leaving, long offset) {
-    return new PeerStatus(ready, leaving, offset, offset, Map.of(), Set.of());
+    return new PeerStatus(ready, leaving, view(offset), Map.of(), Set.of());
   }
 
   /**
@@ -112,16 +117,20 @@
   }
 
   @Test
-  void mostAdvancedReturnsLivePeerWithHighestOffset() {
-    PeerTable table = table(1, 3);
-    assertEquals(Optional.empty(), table.mostAdvanced(true, 0));
+  void aheadOfReturnsLivePeersWithTheLatestChange() {
+    PeerTable table = table(1, 4);
+    assertEquals(List.of(), table.aheadOf(TableName.CONFIGURATION, 5, 0));
+    table.onHeartbeat("e2", status(true, false, 7), 0);
     table.onHeartbeat("e3", status(true, false, 9), 0);
-    assertEquals("e3", table.mostAdvanced(true, 0).orElseThrow().name());
-    assertEquals(Optional.empty(), table.mostAdvanced(true, Nanos.ofMillis(1_001)));
+    table.onHeartbeat("e4", status(true, false, 9), 0);
+    assertEquals(
+        List.of("e3", "e4"), PeerTable.names(table.aheadOf(TableName.CONFIGURATION, 5, 0)));
+    assertEquals(List.of(), table.aheadOf(TableName.CONFIGURATION, 9, 0));
+    assertEquals(List.of(), table.aheadOf(TableName.CONFIGURATION, 5, Nanos.ofMillis(1_001)));
   }
 
   private static PeerStatus statusWithRole(boolean leaving, String role) {
-    return new PeerStatus(true, leaving, 5, 5, Map.of(), Set.of(role));
+    return new PeerStatus(true, leaving, view(5), Map.of(), Set.of(role));
   }
 
   /**
@@ -178,7 +187,9 @@
     String service = serviceBatchedElsewhere(table);
     Map<String, QueueWait> waits = Map.of(service, new QueueWait(300, 900));
     table.onHeartbeat(
-        table.roleHolder(service, 0), new PeerStatus(true, false, 5, 5, waits, Set.of(service)), 0);
+        table.roleHolder(service, 0),
+        new PeerStatus(true, false, view(5), waits, Set.of(service)),
+        0);
     assertEquals(300, table.queueWait(service, Nanos.ofMillis(400)).millis(false));
     assertEquals(700, table.queueWait(service, Nanos.ofMillis(900)).millis(false));
   }
@@ -189,7 +200,7 @@
     String service = serviceBatchedElsewhere(table);
     String first = table.roleHolder(service, 0);
     Map<String, QueueWait> waits = Map.of(service, new QueueWait(300, 900));
-    table.onHeartbeat(first, new PeerStatus(true, false, 5, 5, waits, Set.of(service)), 0);
+    table.onHeartbeat(first, new PeerStatus(true, false, view(5), waits, Set.of(service)), 0);
     table.onDown(first);
     assertNotEquals(first, table.roleHolder(service, 0));
     assertEquals(500, table.queueWait(service, Nanos.ofMillis(200)).millis(false));
@@ -201,7 +212,7 @@
     PeerTable table = table(1, 5);
     String batcher = table.roleHolder("x", 0);
     Map<String, QueueWait> waits = Map.of("x", new QueueWait(300, 900));
-    PeerStatus status = new PeerStatus(true, false, 5, 5, waits, Set.of());
+    PeerStatus status = new PeerStatus(true, false, view(5), waits, Set.of());
     if (batcher.equals("e1")) {
       table.ownStatus(status);
     } else {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
@@ -117,6 +117,7 @@
         Optional.empty(),
         List.of(),
         endpoints.get(4),
+        100,
         new PlatformSettings.Bounds(8_000, 0.2, 10_000, 50, 5_000));
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -12,9 +12,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.peer.FewInstancesRead;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.PeerTable;
+import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.ServingState;
@@ -25,7 +27,6 @@
 import org.arbutusspar.io.link.PeerCodec;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.ConfigurationReader;
-import org.arbutusspar.platform.KeyedRecord;
 import org.arbutusspar.platform.PlatformSettings;
 import org.arbutusspar.platform.ReplicaReader;
 import org.arbutusspar.platform.StoreClient;
@@ -53,28 +54,6 @@
    */
   private static final long IDLE_TIMEOUT_MILLIS = 4_000;
 
-  /**
-   * Timing of the reads of the configuration: long polls without a pause, so that a new
-   * configuration is read as soon as it is appended. The wait bounds how late a connection that no
-   * longer responds is detected.
-   */
-  private static final TopicConsumer.PollInterval CONFIGURATION_POLL_INTERVAL =
-      new TopicConsumer.PollInterval(1_200, 0);
-
-  /**
-   * Timing of the reads of the list of replicas. Replicas append records continuously, so calls are
-   * separated by a pause. It bounds how late a leaving replica is detected.
-   */
-  private static final TopicConsumer.PollInterval REPLICAS_POLL_INTERVAL =
-      new TopicConsumer.PollInterval(1_000, 600);
-
-  /**
-   * Timing of the reads of the list of instances. Instances start and stop rarely, so calls may
-   * wait long.
-   */
-  private static final TopicConsumer.PollInterval INSTANCES_POLL_INTERVAL =
-      new TopicConsumer.PollInterval(5_000, 100);
-
   /** Delay before a failed announcement in the store is retried, in milliseconds. */
   private static final long ANNOUNCE_RETRY_DELAY_MILLIS = 500;
 
@@ -126,14 +105,9 @@
   private final PieceDispatcher pieces;
   private final RequestContext context;
   private final ClientHandler clients;
-  private final TopicConsumer configurationTopic;
-  private final TopicConsumer replicasTopic;
-  private final TopicConsumer instancesTopic;
+  private final StoreTables tables;
   private boolean statusUpdateScheduled;
 
-  /** Names of the tables for which a peer was ahead at the last heartbeat received. */
-  private final Set<String> outdatedTables = new HashSet<>();
-
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile boolean leaving;
   private volatile boolean ready;
@@ -159,7 +133,8 @@
             incarnation,
             settings.dataCentre(),
             settings.links(),
-            settings.clients());
+            settings.clients(),
+            settings.capacity());
     peers = PeerTable.create(self, PeerNetwork.LIVENESS_TIMEOUT_MILLIS);
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
     replicas = ReplicaRegistry.create();
@@ -170,17 +145,18 @@
         RequestContext.create(
             loop, client, replicas, engines, pieces, peers, settings.bounds(), log, metrics);
     clients = new ClientHandler(context);
-    configurationTopic =
-        consumer(
-            StoreClient.CONFIGURATION_TOPIC, CONFIGURATION_POLL_INTERVAL, this::onConfiguration);
-    replicasTopic = consumer(StoreClient.REPLICAS_TOPIC, REPLICAS_POLL_INTERVAL, this::onReplicas);
-    instancesTopic =
-        consumer(StoreClient.INSTANCES_TOPIC, INSTANCES_POLL_INTERVAL, this::onInstances);
-  }
-
-  private TopicConsumer consumer(
-      String topic, TopicConsumer.PollInterval pollInterval, TopicConsumer.Listener listener) {
-    return TopicConsumer.create(topic, store, loop, log, pollInterval, listener);
+    tables =
+        StoreTables.create(
+            store,
+            peers,
+            peerNetwork,
+            loop,
+            log,
+            FewInstancesRead.create(),
+            Map.of(
+                TableName.CONFIGURATION, this::onConfiguration,
+                TableName.REPLICAS, this::onReplicas,
+                TableName.INSTANCES, this::onInstances));
   }
 
   /**
@@ -219,9 +195,7 @@
     loop.post(
         () -> {
           peerNetwork.start();
-          configurationTopic.start();
-          replicasTopic.start();
-          instancesTopic.start();
+          tables.start();
           announce();
         });
   }
@@ -285,28 +259,35 @@
   }
 
   private void onConfiguration(TopicConsumer consumer, boolean changed) {
-    KeyedRecord record = consumer.rows().get(StoreClient.CONFIGURATION_KEY);
-    if (record != null && record.value().isPresent() && record.offset() > stateOffset) {
-      apply(record);
+    long offset = consumer.table().rowOffset(StoreClient.CONFIGURATION_KEY);
+    if (offset > stateOffset) {
+      apply(offset, consumer.table().value(StoreClient.CONFIGURATION_KEY).orElseThrow());
     }
+    onTableRead(changed);
+  }
+
+  /** Tells the peers of a change at once if they rely on this instance to read the store. */
+  private void onTableRead(boolean changed) {
     updateStatus();
+    if (changed && tables.isReader()) {
+      peerNetwork.sendStatus();
+    }
   }
 
   /** Puts a configuration in force if it is well-formed and of a higher version. */
-  private void apply(KeyedRecord record) {
+  private void apply(long offset, byte[] configuration) {
+    stateOffset = offset;
     ServingState newState;
     try {
-      newState = ConfigurationReader.read(record.value().orElseThrow());
+      newState = ConfigurationReader.read(configuration);
     } catch (IOException e) {
-      log.write("configuration-malformed", "offset", record.offset(), "error", e.getMessage());
+      log.write("configuration-malformed", "offset", offset, "error", e.getMessage());
       return;
     }
     if (state != null && newState.version() <= state.version()) {
-      stateOffset = Math.max(stateOffset, record.offset());
       return;
     }
     state = newState;
-    stateOffset = record.offset();
     host.maxHeaderBytes(newState.limits().headerBytes());
     host.headerTimeoutMillis(newState.limits().headerMillis());
     host.idleTimeoutMillis(newState.limits().idleMillis());
@@ -318,7 +299,7 @@
         "version",
         newState.version(),
         "offset",
-        record.offset(),
+        offset,
         "routes",
         newState.routes().routes().size());
   }
@@ -327,19 +308,15 @@
     if (changed) {
       List<UpstreamReplica> newReplicas = new ArrayList<>();
       consumer
-          .rows()
-          .forEach(
-              (id, record) ->
-                  record
-                      .value()
-                      .flatMap(v -> ReplicaReader.read(id, v))
-                      .ifPresent(newReplicas::add));
+          .table()
+          .values()
+          .forEach((id, value) -> ReplicaReader.read(id, value).ifPresent(newReplicas::add));
       logReplicaChanges(newReplicas);
       replicas.replace(newReplicas);
       engines.onReplicas();
       pieces.onReplicas();
     }
-    updateStatus();
+    onTableRead(changed);
   }
 
   private void logReplicaChanges(Collection<UpstreamReplica> newReplicas) {
@@ -359,26 +336,33 @@
             "slots",
             replica.slots(),
             "offset",
-            replicasTopic.offset());
+            tables.table(TableName.REPLICAS).offset());
       }
     }
     for (UpstreamReplica removed : replicas.missingFrom(newReplicas)) {
-      log.write("replica-gone", "replica", removed.id(), "offset", replicasTopic.offset());
+      log.write(
+          "replica-gone",
+          "replica",
+          removed.id(),
+          "offset",
+          tables.table(TableName.REPLICAS).offset());
     }
   }
 
   private void onInstances(TopicConsumer consumer, boolean changed) {
-    for (KeyedRecord record : consumer.rows().values()) {
-      if (record.value().isEmpty()) {
-        continue;
-      }
-      try {
-        if (PeerCodec.decode(record.value().get(), 0) instanceof PeerMessage.Hello hello) {
-          peerNetwork.discover(hello.self());
-        }
-      } catch (IOException e) {
-        log.write("instance-malformed", "key", record.key(), "error", e.getMessage());
+    if (changed) {
+      consumer.table().values().forEach(this::discover);
+    }
+    onTableRead(changed);
+  }
+
+  private void discover(String name, byte[] announcement) {
+    try {
+      if (PeerCodec.decode(announcement, 0) instanceof PeerMessage.Hello hello) {
+        peerNetwork.discover(hello.self());
       }
+    } catch (IOException e) {
+      log.write("instance-malformed", "key", name, "error", e.getMessage());
     }
   }
 
@@ -400,14 +384,7 @@
   private void updateStatus() {
     Set<String> roles = new HashSet<>(pieces.activeRoles());
     roles.addAll(engines.activeRoles());
-    PeerStatus status =
-        new PeerStatus(
-            ready,
-            leaving,
-            configurationTopic.offset(),
-            replicasTopic.offset(),
-            pieces.queueWaits(),
-            roles);
+    PeerStatus status = new PeerStatus(ready, leaving, tables.view(), pieces.queueWaits(), roles);
     PeerStatus previous = peers.ownStatus();
     peers.ownStatus(status);
     if (previous.ready() != status.ready() || previous.leaving() != status.leaving()) {
@@ -444,30 +421,6 @@
     }
   }
 
-  /** Requests from peers the tables that this instance cannot read from the store itself. */
-  private void requestMissingTables() {
-    requestIfBehind(PeerMessage.Table.CONFIGURATION, configurationTopic);
-    requestIfBehind(PeerMessage.Table.REPLICAS, replicasTopic);
-  }
-
-  /**
-   * Requests a table from the most advanced peer if that peer is ahead. The replicas are requested
-   * only while the store is unreachable; the configuration also if a peer was already ahead at the
-   * previous heartbeat.
-   */
-  private void requestIfBehind(PeerMessage.Table table, TopicConsumer consumer) {
-    boolean ofConfiguration = table == PeerMessage.Table.CONFIGURATION;
-    Optional<Peer> mostAdvanced = peers.mostAdvanced(ofConfiguration, loop.now());
-    if (mostAdvanced.isEmpty()) {
-      outdatedTables.remove(table.name());
-      return;
-    }
-    boolean wasOutdated = !outdatedTables.add(table.name());
-    if (consumer.isStoreUnreachable() || wasOutdated && ofConfiguration) {
-      peerNetwork.send(mostAdvanced.get().name(), new PeerMessage.TableRequest(table));
-    }
-  }
-
   /**
    * Starts the graceful shutdown. The instance advertises that it is leaving, still serves the
    * requests that it receives, and stops when no request is in progress or the permitted shutdown
@@ -509,7 +462,7 @@
 
   private void stop(long elapsedMillis) {
     log.write("stopped", "active", clients.active(), "elapsed_ms", elapsedMillis);
-    List.of(configurationTopic, replicasTopic, instancesTopic).forEach(TopicConsumer::stop);
+    tables.stop();
     stopped.countDown();
   }
 
@@ -544,44 +497,26 @@
   private final class PeerEvents implements PeerNetwork.Listener {
     @Override
     public void onMessage(String name, PeerMessage message) {
-      if (message instanceof PeerMessage.TableRequest request) {
-        TopicConsumer consumer =
-            request.table() == PeerMessage.Table.CONFIGURATION ? configurationTopic : replicasTopic;
-        peerNetwork.send(
-            name, new PeerMessage.TableData(request.table(), consumer.offset(), consumer.toRows()));
-      } else if (message instanceof PeerMessage.TableData data) {
-        TopicConsumer consumer =
-            data.table() == PeerMessage.Table.CONFIGURATION ? configurationTopic : replicasTopic;
-        log.write(
-            "table-from-fellow",
-            "fellow",
-            name,
-            "table",
-            data.table(),
-            "offset",
-            data.offset(),
-            "own_offset",
-            consumer.offset());
-        consumer.replaceFromPeer(data.offset(), data.rows());
-      } else {
-        engines.onMessage(name, message);
-        pieces.onMessage(name, message);
-      }
+      tables.onMessage(name, message);
+      engines.onMessage(name, message);
+      pieces.onMessage(name, message);
     }
 
     @Override
     public void onHeartbeat(String name) {
-      requestMissingTables();
+      tables.onHeartbeat(name);
     }
 
     @Override
     public void onDown(String name) {
+      tables.updateRole();
       engines.onDown(name);
       pieces.onDown(name);
     }
 
     @Override
     public void onHeartbeatSent() {
+      tables.updateRole();
       updateStatus();
       updateSnapshot();
     }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
@@ -139,8 +139,7 @@
   }
 
   private void sendToAll(PeerMessage message) {
-    byte[] body = PeerCodec.encode(message, loop.now());
-    connections.values().forEach(connection -> connection.send(body));
+    network.send(connections.values(), PeerCodec.encode(message, loop.now()));
   }
 
   /**
@@ -151,12 +150,22 @@
    * @return whether there is a connection to the peer; if not, nothing is sent
    */
   boolean send(String name, PeerMessage message) {
+    return connections.containsKey(name) && send(name, PeerCodec.encode(message, loop.now()));
+  }
+
+  /**
+   * Sends an encoded message to a peer.
+   *
+   * @param name name of the peer, not null
+   * @param body the message as {@link PeerCodec} encodes it, not null; not to be modified
+   * @return whether there is a connection to the peer; if not, nothing is sent
+   */
+  boolean send(String name, byte[] body) {
     FrameConnection connection = connections.get(name);
-    if (connection == null) {
-      return false;
+    if (connection != null) {
+      connection.send(body);
     }
-    connection.send(PeerCodec.encode(message, loop.now()));
-    return true;
+    return connection != null;
   }
 
   private void onOpen(FrameConnection connection) {
--- /dev/null
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
@@ -0,0 +1,277 @@
+package org.arbutusspar.entry.gateway;
+
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.arbutusspar.core.balancing.Rendezvous;
+import org.arbutusspar.core.peer.Peer;
+import org.arbutusspar.core.peer.PeerTable;
+import org.arbutusspar.core.peer.SharedTable;
+import org.arbutusspar.core.peer.StoreReaders;
+import org.arbutusspar.core.peer.StoreRole;
+import org.arbutusspar.core.peer.StoreView;
+import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.peer.TableVersion;
+import org.arbutusspar.io.EventLog;
+import org.arbutusspar.io.link.PeerCodec;
+import org.arbutusspar.io.link.PeerMessage;
+import org.arbutusspar.platform.ReplicaReader;
+import org.arbutusspar.platform.StoreClient;
+
+/**
+ * The tables that this instance reads from the platform's store or copies from its peers: the
+ * configuration, the replicas and the instances.
+ *
+ * <p>{@link StoreReaders} decides which instances read. Heartbeats carry the versions of their
+ * tables; an instance whose version is behind that of a peer requests the rows that it lacks.
+ *
+ * <p>Not thread-safe: all methods run on the event loop.
+ */
+final class StoreTables {
+
+  /**
+   * Timing of the reads of the configuration: long polls without a pause, so that a new
+   * configuration is read as soon as it is appended. The wait bounds how late a connection that no
+   * longer responds is detected.
+   */
+  private static final TopicConsumer.PollInterval CONFIGURATION_POLL_INTERVAL =
+      new TopicConsumer.PollInterval(1_000, 0);
+
+  /**
+   * Timing of the reads of the list of replicas. Replicas append records continuously, so calls are
+   * separated by a pause. It bounds how late a leaving replica is detected.
+   */
+  private static final TopicConsumer.PollInterval REPLICAS_POLL_INTERVAL =
+      new TopicConsumer.PollInterval(1_000, 600);
+
+  /**
+   * Timing of the reads of the list of instances. Instances start and stop rarely, so calls may
+   * wait long.
+   */
+  private static final TopicConsumer.PollInterval INSTANCES_POLL_INTERVAL =
+      new TopicConsumer.PollInterval(5_000, 100);
+
+  /**
+   * Delay of a request for rows after a heartbeat shows that they are missing, in milliseconds.
+   * Several peers report a change within this time, and the requests are spread over them.
+   */
+  private static final long COPY_DELAY_MILLIS = 100;
+
+  /** Delay of such a request while this instance reads the store itself, in milliseconds. */
+  private static final long READER_COPY_DELAY_MILLIS = 800;
+
+  /** Time after which a request for rows without response is repeated, in milliseconds. */
+  private static final long COPY_TIMEOUT_MILLIS = 600;
+
+  private final PeerTable peers;
+  private final PeerNetwork peerNetwork;
+  private final EventLoop loop;
+  private final EventLog log;
+  private final StoreReaders readers;
+  private final Map<TableName, TopicConsumer> consumers = new EnumMap<>(TableName.class);
+  private final Set<TableName> requested = EnumSet.noneOf(TableName.class);
+  private StoreRole role = StoreRole.READER;
+
+  /** The last complete copy of the configuration for peers, as it is sent. */
+  private byte[] encodedConfiguration = {};
+
+  private TableVersion encodedVersion = TableVersion.NONE;
+
+  private StoreTables(
+      PeerTable peers,
+      PeerNetwork peerNetwork,
+      EventLoop loop,
+      EventLog log,
+      StoreReaders readers) {
+    this.peers = peers;
+    this.peerNetwork = peerNetwork;
+    this.loop = loop;
+    this.log = log;
+    this.readers = readers;
+  }
+
+  /**
+   * Returns tables that are not started.
+   *
+   * @param store client of the store, not null
+   * @param peers the peers and their statuses, not null
+   * @param peerNetwork sends requests and responses to peers, not null
+   * @param loop runs all work of the tables, not null
+   * @param log receives lines on the store's reachability and on copies, not null
+   * @param readers decides which instances read the store, not null
+   * @param listeners notified after each read or change, by table, not null
+   * @return the tables
+   */
+  static StoreTables create(
+      StoreClient store,
+      PeerTable peers,
+      PeerNetwork peerNetwork,
+      EventLoop loop,
+      EventLog log,
+      StoreReaders readers,
+      Map<TableName, TopicConsumer.Listener> listeners) {
+    StoreTables tables = new StoreTables(peers, peerNetwork, loop, log, readers);
+    for (TableName name : TableName.values()) {
+      tables.consumers.put(
+          name,
+          TopicConsumer.create(
+              topic(name),
+              store,
+              loop,
+              log,
+              pollInterval(name),
+              SharedTable.create((old, value) -> sameContent(name, old, value)),
+              listeners.get(name)));
+    }
+    return tables;
+  }
+
+  private static String topic(TableName name) {
+    return switch (name) {
+      case CONFIGURATION -> StoreClient.CONFIGURATION_TOPIC;
+      case REPLICAS -> StoreClient.REPLICAS_TOPIC;
+      case INSTANCES -> StoreClient.INSTANCES_TOPIC;
+    };
+  }
+
+  private static TopicConsumer.PollInterval pollInterval(TableName name) {
+    return switch (name) {
+      case CONFIGURATION -> CONFIGURATION_POLL_INTERVAL;
+      case REPLICAS -> REPLICAS_POLL_INTERVAL;
+      case INSTANCES -> INSTANCES_POLL_INTERVAL;
+    };
+  }
+
+  /** Returns whether two values mean the same. A heartbeat of a replica repeats its entry. */
+  private static boolean sameContent(TableName name, byte[] old, byte[] value) {
+    return Arrays.equals(old, value)
+        || name == TableName.REPLICAS
+            && ReplicaReader.read("", old).equals(ReplicaReader.read("", value));
+  }
+
+  /** Starts to read all tables. */
+  void start() {
+    consumers.values().forEach(TopicConsumer::start);
+  }
+
+  /** Stops reading. Results of calls in progress are ignored. */
+  void stop() {
+    consumers.values().forEach(TopicConsumer::stop);
+  }
+
+  /** Returns a table, not to be modified. */
+  SharedTable table(TableName name) {
+    return consumers.get(name).table();
+  }
+
+  /** Returns whether this instance reads the store for the whole deployment. */
+  boolean isReader() {
+    return role == StoreRole.READER;
+  }
+
+  /** Returns the view of the store to send to peers. */
+  StoreView view() {
+    Map<TableName, TableVersion> versions = new EnumMap<>(TableName.class);
+    consumers.forEach((name, consumer) -> versions.put(name, consumer.table().version()));
+    TopicConsumer configuration = consumers.get(TableName.CONFIGURATION);
+    TopicConsumer replicas = consumers.get(TableName.REPLICAS);
+    return new StoreView(
+        configuration.isStoreUnreachable() || replicas.isStoreUnreachable(),
+        Math.max(configuration.contactAgeMillis(), replicas.contactAgeMillis()),
+        versions);
+  }
+
+  /** Decides anew whether this instance reads the store. To be called at each heartbeat. */
+  void updateRole() {
+    StoreRole newRole = readers.role(peers, loop.now());
+    if (newRole != role) {
+      log.write("store-role", "role", newRole);
+      role = newRole;
+    }
+    consumers.values().forEach(consumer -> consumer.role(newRole));
+  }
+
+  /**
+   * Compares the versions of a peer's tables with those of this instance, and requests missing
+   * rows.
+   *
+   * @param peerName name of the peer, not null
+   */
+  void onHeartbeat(String peerName) {
+    StoreView view = peers.status(peerName).store();
+    consumers.forEach(
+        (name, consumer) -> {
+          if (!consumer.follow(view.version(name))) {
+            scheduleRequest(name, consumer);
+          }
+        });
+  }
+
+  private void scheduleRequest(TableName name, TopicConsumer consumer) {
+    if (requested.add(name)) {
+      boolean readsItself = consumer.isReader() && !consumer.isStoreUnreachable();
+      loop.after(readsItself ? READER_COPY_DELAY_MILLIS : COPY_DELAY_MILLIS, () -> request(name));
+    }
+  }
+
+  /** Requests missing rows from one of the peers that have them, until none has more. */
+  private void request(TableName name) {
+    long offset = consumers.get(name).table().offset();
+    List<Peer> sources = peers.aheadOf(name, offset, loop.now());
+    Optional<Peer> source =
+        Rendezvous.top(sources, Peer::name, peers.self().name(), 1).stream().findFirst();
+    if (source.isEmpty()) {
+      requested.remove(name);
+      return;
+    }
+    peerNetwork.send(source.get().name(), new PeerMessage.TableRequest(name, offset));
+    loop.after(COPY_TIMEOUT_MILLIS, () -> request(name));
+  }
+
+  /**
+   * Handles a message from a peer. Messages that do not concern tables are ignored.
+   *
+   * @param peerName name of the peer, not null
+   * @param message the message, not null
+   */
+  void onMessage(String peerName, PeerMessage message) {
+    if (message instanceof PeerMessage.TableRequest request) {
+      respond(peerName, request);
+    } else if (message instanceof PeerMessage.TableData data) {
+      TopicConsumer consumer = consumers.get(data.table());
+      log.write(
+          "table-from-fellow",
+          "fellow",
+          peerName,
+          "table",
+          data.table(),
+          "offset",
+          data.copy().version().offset(),
+          "own_offset",
+          consumer.table().offset(),
+          "rows",
+          data.copy().rows().size());
+      consumer.merge(data.copy());
+    }
+  }
+
+  private void respond(String peerName, PeerMessage.TableRequest request) {
+    SharedTable table = table(request.table());
+    if (request.table() != TableName.CONFIGURATION) {
+      peerNetwork.send(
+          peerName, new PeerMessage.TableData(request.table(), table.copySince(request.since())));
+      return;
+    }
+    if (!encodedVersion.equals(table.version())) {
+      encodedVersion = table.version();
+      encodedConfiguration =
+          PeerCodec.encode(
+              new PeerMessage.TableData(TableName.CONFIGURATION, table.copySince(-1)), loop.now());
+    }
+    peerNetwork.send(peerName, encodedConfiguration);
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
@@ -1,23 +1,22 @@
 package org.arbutusspar.entry.gateway;
 
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.peer.SharedTable;
+import org.arbutusspar.core.peer.StoreRole;
+import org.arbutusspar.core.peer.StoreView;
+import org.arbutusspar.core.peer.TableCopy;
+import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.io.EventLog;
-import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.HistoryLostException;
 import org.arbutusspar.platform.KeyedPage;
-import org.arbutusspar.platform.KeyedRecord;
 import org.arbutusspar.platform.StoreClient;
 
 /**
- * Consumer of a keyed topic of the platform's store. It reads the newest record of each key, then
- * polls for the records appended since. For each key it holds the record with the highest offset;
- * records with a lower one are ignored.
+ * Consumer of a keyed topic of the platform's store. It reads the newest record of each key into a
+ * {@link SharedTable}, then polls for the records appended since. While it is told not to read, it
+ * makes no calls once it has read the table, and follows the copies of peers.
  *
  * <p>While the store is unreachable, the rows stay as they are, and calls are retried with
  * exponential backoff. For a time after an outage, rows are updated but not removed.
@@ -34,6 +33,12 @@
   /** Maximum delay before a retry, in milliseconds. */
   private static final long MAX_RETRY_DELAY_MILLIS = 800;
 
+  /**
+   * Maximum delay before a retry while other instances are responsible for reading, in
+   * milliseconds.
+   */
+  private static final long MAX_FALLBACK_RETRY_DELAY_MILLIS = 2_000;
+
   /**
    * Time after an outage during which no row is removed, in milliseconds. Removals that are read in
    * this time are applied at its end, except for keys of which a newer record has been read.
@@ -52,17 +57,18 @@
   private final EventLog log;
   private final PollInterval pollInterval;
   private final Listener listener;
-  private final Map<String, KeyedRecord> rows = new HashMap<>();
+  private final SharedTable table;
+  private StoreRole role = StoreRole.READER;
 
-  /** Time at which the removal of a row was deferred, in nanoseconds, by the row's key. */
-  private final Map<String, Long> heldRemovals = new HashMap<>();
+  /** Whether neither a call is in progress nor one is scheduled. */
+  private boolean idle;
 
-  private long nextOffset = -1;
+  private long lastContact;
+  private boolean hadContact;
   private long retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
   private long unreachableSince;
   private boolean storeUnreachable;
   private long removalsHeldUntil;
-  private boolean removalsHeld;
   private boolean stopped;
 
   private TopicConsumer(
@@ -71,12 +77,14 @@
       EventLoop loop,
       EventLog log,
       PollInterval pollInterval,
+      SharedTable table,
       Listener listener) {
     this.topic = topic;
     this.store = store;
     this.loop = loop;
     this.log = log;
     this.pollInterval = pollInterval;
+    this.table = table;
     this.listener = listener;
   }
 
@@ -88,6 +96,7 @@
    * @param loop runs all work of the consumer, not null
    * @param log receives lines when the store becomes unreachable or reachable, not null
    * @param pollInterval wait and pause of the calls, not null
+   * @param table the empty table to be filled, not null
    * @param listener notified after each read, not null
    * @return the consumer
    */
@@ -97,8 +106,9 @@
       EventLoop loop,
       EventLog log,
       PollInterval pollInterval,
+      SharedTable table,
       Listener listener) {
-    return new TopicConsumer(topic, store, loop, log, pollInterval, listener);
+    return new TopicConsumer(topic, store, loop, log, pollInterval, table, listener);
   }
 
   /** Starts to consume the topic. */
@@ -111,18 +121,56 @@
     stopped = true;
   }
 
+  /**
+   * Sets whether to read the topic. A table of which nothing has been read is read in any role.
+   *
+   * @param newRole the role, not null
+   */
+  void role(StoreRole newRole) {
+    role = newRole;
+    if (idle && shouldRead()) {
+      idle = false;
+      read();
+    }
+  }
+
+  private boolean shouldRead() {
+    return role != StoreRole.FOLLOWER || table.offset() < 0;
+  }
+
+  /** Returns whether this consumer reads the topic itself. */
+  boolean isReader() {
+    return role != StoreRole.FOLLOWER;
+  }
+
+  private void read() {
+    if (table.offset() < 0) {
+      readNewest();
+    } else {
+      readAppended();
+    }
+  }
+
+  private void readAgainAfter(long delayMillis) {
+    loop.after(
+        delayMillis,
+        () -> {
+          idle = stopped || !shouldRead();
+          if (!idle) {
+            read();
+          }
+        });
+  }
+
   private void readNewest() {
-    handlePage(store.newest(topic), this::onNewest, this::readNewest);
+    handlePage(store.newest(topic), this::onNewest);
   }
 
   private void readAppended() {
-    long from = nextOffset;
-    handlePage(
-        store.read(topic, from, pollInterval.waitMillis()), this::onAppended, this::readAppended);
+    handlePage(store.read(topic, table.offset(), pollInterval.waitMillis()), this::onAppended);
   }
 
-  private void handlePage(
-      CompletableFuture<KeyedPage> call, Consumer<KeyedPage> pageHandler, Runnable retry) {
+  private void handlePage(CompletableFuture<KeyedPage> call, Consumer<KeyedPage> pageHandler) {
     call.whenComplete(
         (page, failure) ->
             loop.post(
@@ -134,7 +182,7 @@
                     onContact();
                     pageHandler.accept(page);
                   } else {
-                    onFailure(failure, retry);
+                    onFailure(failure);
                   }
                 }));
   }
@@ -143,23 +191,28 @@
    * Retries a failed call after a delay. If the store no longer has the records at the offset, the
    * newest record of each key is read instead.
    */
-  private void onFailure(Throwable failure, Runnable retry) {
+  private void onFailure(Throwable failure) {
     Throwable cause = failure.getCause() == null ? failure : failure.getCause();
     if (cause instanceof HistoryLostException) {
-      log.write("store-history-lost", "topic", topic, "offset", nextOffset);
+      log.write("store-history-lost", "topic", topic, "offset", table.offset());
       readNewest();
       return;
     }
     if (!storeUnreachable) {
       storeUnreachable = true;
       unreachableSince = loop.now();
-      log.write("store-lost", "topic", topic, "offset", nextOffset, "reason", cause.getMessage());
+      log.write(
+          "store-lost", "topic", topic, "offset", table.offset(), "reason", cause.getMessage());
     }
-    loop.after(retryDelayMillis, retry);
-    retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
+    readAgainAfter(retryDelayMillis);
+    long maxDelayMillis =
+        role == StoreRole.FALLBACK ? MAX_FALLBACK_RETRY_DELAY_MILLIS : MAX_RETRY_DELAY_MILLIS;
+    retryDelayMillis = Math.min(maxDelayMillis, 2 * retryDelayMillis);
   }
 
   private void onContact() {
+    hadContact = true;
+    lastContact = loop.now();
     retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
     if (!storeUnreachable) {
       return;
@@ -171,11 +224,11 @@
         "topic",
         topic,
         "offset",
-        nextOffset,
+        table.offset(),
         "away_ms",
         Math.round(outageMillis));
     if (outageMillis >= MIN_OUTAGE_MILLIS) {
-      removalsHeld = true;
+      table.holdRemovals();
       removalsHeldUntil = loop.now() + Nanos.ofMillis(REMOVAL_HOLD_MILLIS);
       loop.after(REMOVAL_HOLD_MILLIS + 1, this::applyHeldRemovals);
     }
@@ -186,112 +239,56 @@
     return storeUnreachable;
   }
 
-  /** Applies the newest record of each key and removes the rows of all other keys. */
-  private void onNewest(KeyedPage page) {
-    Map<String, KeyedRecord> newest = new HashMap<>();
-    page.records().forEach(record -> newest.put(record.key(), record));
-    boolean changed = false;
-    boolean isUpToDate = page.nextOffset() >= nextOffset;
-    for (String key : List.copyOf(rows.keySet())) {
-      if (isUpToDate && !newest.containsKey(key)) {
-        changed |= remove(key);
-      }
-    }
-    for (KeyedRecord record : page.records()) {
-      changed |= applyRecord(record);
-    }
-    nextOffset = Math.max(nextOffset, page.nextOffset());
-    notifyListener(changed);
-    loop.after(pollInterval.pauseMillis(), this::readAppended);
-  }
-
-  private void onAppended(KeyedPage page) {
-    boolean changed = false;
-    for (KeyedRecord record : page.records()) {
-      changed |= applyRecord(record);
-    }
-    nextOffset = Math.max(nextOffset, page.nextOffset());
-    notifyListener(changed);
-    loop.after(pollInterval.pauseMillis(), this::readAppended);
+  /** Returns the time since the last response of the store, in milliseconds. */
+  long contactAgeMillis() {
+    return hadContact ? (long) Nanos.toMillis(loop.now() - lastContact) : StoreView.NEVER;
   }
 
-  /** Applies a record, and returns whether the rows have changed. */
-  private boolean applyRecord(KeyedRecord record) {
-    KeyedRecord current = rows.get(record.key());
-    if (current != null && current.offset() >= record.offset()) {
-      return false;
-    }
-    if (record.value().isEmpty()) {
-      return remove(record.key());
-    }
-    rows.put(record.key(), record);
-    heldRemovals.remove(record.key());
-    return true;
+  private void onNewest(KeyedPage page) {
+    notifyListener(table.replace(page.records(), page.nextOffset()));
+    readAgainAfter(pollInterval.pauseMillis());
   }
 
-  /** Removes a row, or defers the removal after an outage. Returns whether it was removed now. */
-  private boolean remove(String key) {
-    if (removalsHeld && loop.now() - removalsHeldUntil < 0) {
-      heldRemovals.putIfAbsent(key, loop.now());
-      return false;
-    }
-    return rows.remove(key) != null;
+  private void onAppended(KeyedPage page) {
+    notifyListener(table.append(page.records(), page.nextOffset()));
+    readAgainAfter(pollInterval.pauseMillis());
   }
 
   private void applyHeldRemovals() {
-    if (loop.now() - removalsHeldUntil < 0) {
-      return;
+    if (loop.now() - removalsHeldUntil >= 0) {
+      notifyListener(table.releaseRemovals());
     }
-    removalsHeld = false;
-    boolean changed = false;
-    for (String key : heldRemovals.keySet()) {
-      changed |= rows.remove(key) != null;
-    }
-    heldRemovals.clear();
-    notifyListener(changed);
   }
 
   private void notifyListener(boolean changed) {
     listener.onRead(this, changed);
   }
 
-  /** Returns the offset from which to read next, or -1 if nothing has been read. */
-  long offset() {
-    return nextOffset;
-  }
-
-  /** Returns the record held for each key, as the live map. */
-  Map<String, KeyedRecord> rows() {
-    return rows;
+  /** Returns the table that holds what was read, not to be modified. */
+  SharedTable table() {
+    return table;
   }
 
-  /** Returns the rows in the form in which they are sent to a peer. */
-  List<PeerMessage.Row> toRows() {
-    return rows.values().stream()
-        .filter(record -> record.value().isPresent())
-        .map(record -> new PeerMessage.Row(record.key(), record.value().get()))
-        .toList();
+  /**
+   * Applies the copy of a peer that has read farther; if it has not, this method does nothing.
+   *
+   * @param copy the copy, not null
+   */
+  void merge(TableCopy copy) {
+    boolean usable = copy.complete() || table.offset() >= 0;
+    if (usable && table.merge(copy)) {
+      notifyListener(true);
+    }
   }
 
   /**
-   * Replaces all rows by those of a peer that has read farther; if it has not, this method does
-   * nothing. The rows of a peer lack their own offsets, so each is held as the last record before
-   * the peer's offset.
+   * Follows the table of a peer if this consumer does not read the topic itself.
    *
-   * @param offset offset up to which the peer has read the topic, exclusive
-   * @param newRows rows of the peer, not null
+   * @param peerVersion version of the peer's table, not null
+   * @return whether this table has all rows of the peer's
    */
-  void replaceFromPeer(long offset, List<PeerMessage.Row> newRows) {
-    if (offset <= nextOffset) {
-      return;
-    }
-    rows.clear();
-    heldRemovals.clear();
-    for (PeerMessage.Row row : newRows) {
-      rows.put(row.key(), new KeyedRecord(row.key(), Optional.of(row.value()), offset - 1));
-    }
-    nextOffset = offset;
-    notifyListener(true);
+  boolean follow(TableVersion peerVersion) {
+    return isReader() ? table.offset() >= peerVersion.changeOffset() : table.follow(peerVersion);
   }
 
   /**
@@ -307,7 +304,7 @@
   interface Listener {
 
     /**
-     * Called after each successful read, and after rows were replaced or removed otherwise.
+     * Called after each successful read, and after the table has changed otherwise.
      *
      * @param consumer the consumer
      * @param changed whether a row was added, changed or removed
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -116,6 +116,7 @@
             Optional.empty(),
             seeds,
             storeEndpoint,
+            100,
             new PlatformSettings.Bounds(shutdownMillis, 0.2, 10_000, 50, 5_000));
     return new Instance(closeAfterTest(Gateway.start(settings)), settings);
   }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameConnection.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameConnection.java
@@ -20,6 +20,12 @@
    */
   private static final int MAX_SEND_QUEUE_BYTES = 32 << 20;
 
+  /**
+   * Maximum length of a body that is copied next to its length, so that a frame takes one system
+   * call. Longer bodies are not copied, since they may be sent to hundreds of peers.
+   */
+  private static final int MAX_COPIED_BODY_BYTES = 16 * 1024;
+
   private static final int INITIAL_BUFFER_BYTES = 4 * 1024;
   private static final int LENGTH_BYTES = 4;
 
@@ -108,14 +114,18 @@
     network.execute(() -> network.drop(this, reason));
   }
 
-  private void enqueue(byte[] body) {
+  void enqueue(byte[] body) {
     if (closed) {
       return;
     }
-    ByteBuffer frame = ByteBuffer.allocate(LENGTH_BYTES + body.length);
-    frame.putInt(body.length).put(body).flip();
-    sendQueue.add(frame);
-    queuedBytes += frame.remaining();
+    if (body.length <= MAX_COPIED_BODY_BYTES) {
+      ByteBuffer frame = ByteBuffer.allocate(LENGTH_BYTES + body.length);
+      sendQueue.add(frame.putInt(body.length).put(body).flip());
+    } else {
+      sendQueue.add(ByteBuffer.allocate(LENGTH_BYTES).putInt(body.length).flip());
+      sendQueue.add(ByteBuffer.wrap(body));
+    }
+    queuedBytes += LENGTH_BYTES + body.length;
     if (queuedBytes > MAX_SEND_QUEUE_BYTES) {
       network.drop(this, "send queue is full: peer does not read");
       return;
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameNetwork.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameNetwork.java
@@ -8,6 +8,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
 import java.util.Queue;
@@ -88,6 +89,17 @@
     execute(() -> startConnecting(peer));
   }
 
+  /**
+   * Sends a frame on several connections, with one wake-up of the network's thread.
+   *
+   * @param connections the connections, not null; copied
+   * @param body the frame's body, not null; must not be modified afterwards
+   */
+  public void send(Collection<FrameConnection> connections, byte[] body) {
+    List<FrameConnection> receivers = List.copyOf(connections);
+    execute(() -> receivers.forEach(connection -> connection.enqueue(body)));
+  }
+
   /** Queues a task to run on the network's thread. */
   void execute(Runnable task) {
     tasks.add(task);
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -11,6 +11,10 @@
 import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerStatus;
+import org.arbutusspar.core.peer.StoreView;
+import org.arbutusspar.core.peer.TableCopy;
+import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
@@ -96,13 +100,10 @@
         packer.packString(update.requestId()).packInt(update.state().ordinal());
       } else if (message instanceof PeerMessage.TableRequest request) {
         packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
+        packer.packLong(request.since());
       } else if (message instanceof PeerMessage.TableData data) {
-        packer.packInt(TABLE_DATA).packInt(data.table().ordinal()).packLong(data.offset());
-        packer.packArrayHeader(data.rows().size());
-        for (PeerMessage.Row row : data.rows()) {
-          packer.packString(row.key()).packBinaryHeader(row.value().length);
-          packer.writePayload(row.value());
-        }
+        packer.packInt(TABLE_DATA).packInt(data.table().ordinal());
+        packCopy(packer, data.copy());
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -139,12 +140,10 @@
                 unpacker.unpackString(),
                 enumConstant(PeerMessage.RunState.values(), unpacker));
         case TABLE_REQUEST ->
-            new PeerMessage.TableRequest(enumConstant(PeerMessage.Table.values(), unpacker));
+            new PeerMessage.TableRequest(
+                enumConstant(TableName.values(), unpacker), unpacker.unpackLong());
         case TABLE_DATA ->
-            new PeerMessage.TableData(
-                enumConstant(PeerMessage.Table.values(), unpacker),
-                unpacker.unpackLong(),
-                list(unpacker, PeerCodec::row));
+            new PeerMessage.TableData(enumConstant(TableName.values(), unpacker), copy(unpacker));
         default -> throw new IOException("unknown message type " + type);
       };
     } catch (MessagePackException | IllegalArgumentException | NullPointerException e) {
@@ -156,6 +155,7 @@
     packer.packString(peer.name()).packLong(peer.incarnation());
     packer.packString(peer.dataCentre().value());
     packer.packString(peer.links().toString()).packString(peer.clients().toString());
+    packer.packInt(peer.capacity());
   }
 
   private static Peer peer(MessageUnpacker unpacker) throws IOException {
@@ -164,12 +164,13 @@
         unpacker.unpackLong(),
         DataCentre.of(unpacker.unpackString()),
         Endpoint.parse(unpacker.unpackString()),
-        Endpoint.parse(unpacker.unpackString()));
+        Endpoint.parse(unpacker.unpackString()),
+        unpacker.unpackInt());
   }
 
   private static void packStatus(MessageBufferPacker packer, PeerStatus status) throws IOException {
     packer.packBoolean(status.ready()).packBoolean(status.leaving());
-    packer.packLong(status.configurationOffset()).packLong(status.replicasOffset());
+    packStoreView(packer, status.store());
     packer.packMapHeader(status.waits().size());
     for (Map.Entry<String, QueueWait> entry : status.waits().entrySet()) {
       packer.packString(entry.getKey()).packInt(entry.getValue().inTimeMillis());
@@ -182,12 +183,66 @@
     return new PeerStatus(
         unpacker.unpackBoolean(),
         unpacker.unpackBoolean(),
-        unpacker.unpackLong(),
-        unpacker.unpackLong(),
+        storeView(unpacker),
         waits(unpacker),
         Set.copyOf(list(unpacker, MessageUnpacker::unpackString)));
   }
 
+  private static void packStoreView(MessageBufferPacker packer, StoreView view) throws IOException {
+    packer.packBoolean(view.unreachable()).packLong(view.contactAgeMillis());
+    packer.packMapHeader(view.tables().size());
+    for (Map.Entry<TableName, TableVersion> entry : view.tables().entrySet()) {
+      packer.packInt(entry.getKey().ordinal());
+      packVersion(packer, entry.getValue());
+    }
+  }
+
+  private static StoreView storeView(MessageUnpacker unpacker) throws IOException {
+    boolean unreachable = unpacker.unpackBoolean();
+    long contactAgeMillis = unpacker.unpackLong();
+    int size = unpacker.unpackMapHeader();
+    if (size > TableName.values().length) {
+      throw new IOException("map of " + size + " tables exceeds the maximum size");
+    }
+    Map<TableName, TableVersion> tables = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      tables.put(enumConstant(TableName.values(), unpacker), version(unpacker));
+    }
+    return new StoreView(unreachable, contactAgeMillis, tables);
+  }
+
+  private static void packVersion(MessageBufferPacker packer, TableVersion version)
+      throws IOException {
+    packer.packLong(version.offset()).packLong(version.changeOffset());
+  }
+
+  private static TableVersion version(MessageUnpacker unpacker) throws IOException {
+    return new TableVersion(unpacker.unpackLong(), unpacker.unpackLong());
+  }
+
+  private static void packCopy(MessageBufferPacker packer, TableCopy copy) throws IOException {
+    packer.packBoolean(copy.complete());
+    packVersion(packer, copy.version());
+    packer.packArrayHeader(copy.rows().size());
+    for (TableCopy.Row row : copy.rows()) {
+      packer.packString(row.key()).packBinaryHeader(row.value().length);
+      packer.writePayload(row.value());
+      packer.packLong(row.offset());
+    }
+    packer.packArrayHeader(copy.removed().size());
+    for (TableCopy.Removal removal : copy.removed()) {
+      packer.packString(removal.key()).packLong(removal.offset());
+    }
+  }
+
+  private static TableCopy copy(MessageUnpacker unpacker) throws IOException {
+    return new TableCopy(
+        unpacker.unpackBoolean(),
+        version(unpacker),
+        list(unpacker, PeerCodec::row),
+        list(unpacker, u -> new TableCopy.Removal(u.unpackString(), u.unpackLong())));
+  }
+
   private static Map<String, QueueWait> waits(MessageUnpacker unpacker) throws IOException {
     int size = unpacker.unpackMapHeader();
     if (size > MAX_ITEMS) {
@@ -299,9 +354,10 @@
         list(unpacker, MessageUnpacker::unpackString));
   }
 
-  private static PeerMessage.Row row(MessageUnpacker unpacker) throws IOException {
+  private static TableCopy.Row row(MessageUnpacker unpacker) throws IOException {
     String key = unpacker.unpackString();
-    return new PeerMessage.Row(key, unpacker.readPayload(unpacker.unpackBinaryHeader()));
+    byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
+    return new TableCopy.Row(key, value, unpacker.unpackLong());
   }
 
   private static <T> List<T> list(MessageUnpacker unpacker, ItemReader<T> reader)
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerStatus;
+import org.arbutusspar.core.peer.TableCopy;
+import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -58,20 +60,20 @@
   record Release(List<String> handles) implements PeerMessage {}
 
   /**
-   * Requests a whole table from a receiver that has a newer state of it than the sender.
+   * Requests the rows of a table that the sender lacks.
    *
    * @param table the table
+   * @param since offset up to which the sender has the table, -1 if it has no rows
    */
-  record TableRequest(Table table) implements PeerMessage {}
+  record TableRequest(TableName table, long since) implements PeerMessage {}
 
   /**
-   * Response to a {@link TableRequest}: all rows of the table.
+   * Response to a {@link TableRequest}.
    *
    * @param table the table
-   * @param offset offset in the store up to which the sender has read the table
-   * @param rows the rows
+   * @param copy the rows
    */
-  record TableData(Table table, long offset, List<Row> rows) implements PeerMessage {}
+  record TableData(TableName table, TableCopy copy) implements PeerMessage {}
 
   /**
    * Requests the placement of a request: the choice of a model engine replica for it.
@@ -107,20 +109,4 @@
     /** The request has ended without a response of the replica. */
     BROKEN
   }
-
-  /** A table that instances read from the store. Sent as its ordinal. */
-  enum Table {
-    /** Configuration written by operators. */
-    CONFIGURATION,
-    /** Replicas of the upstream services. */
-    REPLICAS
-  }
-
-  /**
-   * A row of a table.
-   *
-   * @param key key of the row
-   * @param value value of the row, not to be modified
-   */
-  record Row(String key, byte[] value) {}
 }
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -16,6 +16,10 @@
 import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerStatus;
+import org.arbutusspar.core.peer.StoreView;
+import org.arbutusspar.core.peer.TableCopy;
+import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -32,7 +36,8 @@
           17,
           DataCentre.of("a"),
           new Endpoint("10.0.0.1", 7_000),
-          new Endpoint("10.0.0.1", 8_000));
+          new Endpoint("10.0.0.1", 8_000),
+          150);
 
   private static Piece piece(long startBy, Optional<DataCentre> preferredDataCentre) {
     return new Piece(
@@ -57,7 +62,12 @@
     assertRoundTrip(new PeerMessage.Hello(PEER, List.of(PEER)));
     assertRoundTrip(
         new PeerMessage.Heartbeat(
-            new PeerStatus(true, false, 3, 9, Map.of("s", new QueueWait(4, 5)), Set.of("s"))));
+            new PeerStatus(
+                true,
+                false,
+                new StoreView(true, 7, Map.of(TableName.REPLICAS, new TableVersion(9, 3))),
+                Map.of("s", new QueueWait(4, 5)),
+                Set.of("s"))));
     assertRoundTrip(
         new PeerMessage.Pieces(
             "s", List.of(piece(5, Optional.empty()), piece(-5, Optional.of(DataCentre.of("b"))))));
@@ -68,7 +78,7 @@
                 PieceOutcome.failed(new PieceId("id", 0, 2), PieceOutcome.LATE))));
     assertRoundTrip(new PeerMessage.Cancel("id"));
     assertRoundTrip(new PeerMessage.Release(List.of("a", "b")));
-    assertRoundTrip(new PeerMessage.TableRequest(PeerMessage.Table.REPLICAS));
+    assertRoundTrip(new PeerMessage.TableRequest(TableName.REPLICAS, 4));
   }
 
   @Test
@@ -76,9 +86,18 @@
     byte[] value = {0, -1, 5};
     PeerMessage.TableData data =
         new PeerMessage.TableData(
-            PeerMessage.Table.CONFIGURATION, 9, List.of(new PeerMessage.Row("k", value)));
+            TableName.CONFIGURATION,
+            new TableCopy(
+                false,
+                new TableVersion(9, 8),
+                List.of(new TableCopy.Row("k", value, 7)),
+                List.of(new TableCopy.Removal("gone", 6))));
     PeerMessage read = PeerCodec.decode(PeerCodec.encode(data, 0), 0);
-    assertArrayEquals(value, ((PeerMessage.TableData) read).rows().get(0).value());
+    TableCopy copy = ((PeerMessage.TableData) read).copy();
+    assertArrayEquals(value, copy.rows().get(0).value());
+    assertEquals(7, copy.rows().get(0).offset());
+    assertEquals(data.copy().version(), copy.version());
+    assertEquals(data.copy().removed(), copy.removed());
   }
 
   /**
