Cut off responses of upstreams that do not end

Cause, shown by the new tests before the change: a worker that answers a piece call with a body without end was read up to 32 MiB a call (113 MB for a few calls), which the heap of an instance does not hold; interim responses without end were read at full speed until the route's timeout, since each of them is a complete header and Jetty's client has no limit on their number.

Ruled out by the same tests: line breaks, a header field or a header without end, bodies and chunks of a forwarded request. The request gets 502, never 503, since it may have run. Tests: HostileReplicasAndClientsTest.endlessResponse..., six scripts for requests and for pieces.

--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
@@ -23,6 +23,8 @@
 import org.arbutusspar.platform.standin.ScriptedReplica;
 import org.arbutusspar.platform.standin.ScriptedReplica.Script;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests an instance against replicas that violate HTTP or are at capacity, and against clients that
@@ -30,6 +32,12 @@
  */
 class HostileReplicasAndClientsTest extends GatewayRig {
 
+  /**
+   * Maximum number of bytes that an instance takes from one response without end: the 1 MiB that it
+   * buffers of a response, and what lies in the buffers of the sockets.
+   */
+  private static final long MAX_BYTES_OF_ENDLESS_RESPONSE = 8 << 20;
+
   private ScriptedReplica replaceEngineByScripted(Instance instance, Script script)
       throws IOException {
     ScriptedReplica replica = closeAfterTest(ScriptedReplica.start(FIRST_ADDRESS, script));
@@ -97,6 +105,56 @@
     }
   }
 
+  /**
+   * Guards against memory and processor time without bound: a replica sends bytes that are no
+   * response until its caller closes the connection. The request may have run, so it must not be
+   * rejected as not run.
+   */
+  @ParameterizedTest
+  @EnumSource(value = Script.class, names = "ENDLESS_.*", mode = EnumSource.Mode.MATCH_ALL)
+  void endlessResponseIsCutOffEarly(Script script) throws IOException {
+    Instance instance = startReadyInstance();
+    ScriptedReplica replica = closeAfterTest(ScriptedReplica.start(FIRST_ADDRESS, script));
+    store.putReplica("i-1", "");
+    store.putReplica(
+        "i-9", ReplicaStandin.listEntry(replica.endpoint(), SampleTraffic.ENGINE, false));
+    await(() -> !replica.received().isEmpty() || call(instance, "/n/x", id(), "key") == null);
+    int requests = 5;
+    long startNanos = System.nanoTime();
+    for (int i = 0; i < requests; i++) {
+      assertEquals(502, call(instance, "/n/x", id(), "key").status());
+    }
+    long millis = (System.nanoTime() - startNanos) / 1_000_000;
+    await(() -> replica.endlessResponses() == 0);
+    assertTrue(millis < requests * 500, millis + " ms");
+    long maxBytes = replica.received().size() * MAX_BYTES_OF_ENDLESS_RESPONSE;
+    assertTrue(replica.endlessBytes() <= maxBytes, replica.endlessBytes() + " bytes");
+  }
+
+  /** Like {@link #endlessResponseIsCutOffEarly}, for the calls that compute pieces of a stage. */
+  @ParameterizedTest
+  @EnumSource(value = Script.class, names = "ENDLESS_.*", mode = EnumSource.Mode.MATCH_ALL)
+  void endlessResponseOfWorkerIsCutOffEarly(Script script) throws IOException {
+    Instance instance = startReadyInstance();
+    ScriptedReplica replica = closeAfterTest(ScriptedReplica.start(FIRST_ADDRESS, script));
+    store.putReplica("i-2", "");
+    store.putReplica(
+        "i-9", ReplicaStandin.listEntry(replica.endpoint(), SampleTraffic.WORKER, false));
+    await(
+        () -> {
+          call(instance, "/s/x", id(), "key");
+          return !replica.received().isEmpty();
+        });
+    await(() -> replica.endlessResponses() == 0);
+    long maxBytes = replica.received().size() * MAX_BYTES_OF_ENDLESS_RESPONSE;
+    assertTrue(replica.endlessBytes() <= maxBytes, replica.endlessBytes() + " bytes");
+    assertEquals(200, call(instance, "/n/x", id(), "key").status());
+  }
+
+  private static String id() {
+    return "n" + System.nanoTime();
+  }
+
   /**
    * Guards against request bodies that are mixed on a reused connection. A replica responds before
    * it has read the whole request body, and reads the rest later. It must then receive the rest of
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.io.http;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
@@ -35,8 +36,8 @@
   private static final int MAX_QUEUED_CALLS_PER_DESTINATION = 4_096;
   private static final int MAX_HEADER_BYTES = 64 * 1024;
 
-  /** Maximum size of a response body that is buffered by {@link #fetch}, in bytes. */
-  private static final int MAX_FETCHED_BYTES = 32 << 20;
+  /** Maximum size of a response body that is expected to be small, in bytes. */
+  private static final int MAX_SMALL_BODY_BYTES = 256 * 1024;
 
   private static final long DESTINATION_IDLE_TIMEOUT_MILLIS = 10_000;
 
@@ -113,17 +114,30 @@
     return reason -> request.abort(new StepException("cancel", call.endpoint() + "", reason, null));
   }
 
+  /**
+   * Sends a call and buffers the whole response, which is expected to be small.
+   *
+   * @param step name of the operation, used in errors, not null
+   * @param call the call, not null
+   * @return the response, with any status; completes with a {@link StepException} if there is no
+   *     complete response or its body exceeds {@value #MAX_SMALL_BODY_BYTES} bytes
+   */
+  public CompletableFuture<RawReply> fetch(String step, RawCall call) {
+    return fetch(step, call, MAX_SMALL_BODY_BYTES);
+  }
+
   /**
    * Sends a call and buffers the whole response.
    *
    * @param step name of the operation, used in errors, not null
    * @param call the call, not null
+   * @param maxBytes maximum size of the body in bytes; the call is cancelled if it is larger
    * @return the response, with any status; completes with a {@link StepException} if there is no
    *     complete response
    */
-  public CompletableFuture<RawReply> fetch(String step, RawCall call) {
+  public CompletableFuture<RawReply> fetch(String step, RawCall call, int maxBytes) {
     CompletableFuture<RawReply> future = new CompletableFuture<>();
-    ResponseCollector collector = new ResponseCollector(step, call, future);
+    ResponseCollector collector = new ResponseCollector(step, call, maxBytes, future);
     collector.cancellation = send(call, collector);
     return future;
   }
@@ -207,16 +221,20 @@
   private static final class ResponseCollector implements RawListener {
     private final String step;
     private final RawCall call;
+    private final int maxBytes;
     private final CompletableFuture<RawReply> future;
     private final AtomicBoolean sendStarted = new AtomicBoolean();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile Cancellation cancellation;
+    private boolean tooLarge;
     private int status;
     private List<HeaderField> fields = List.of();
 
-    private ResponseCollector(String step, RawCall call, CompletableFuture<RawReply> future) {
+    private ResponseCollector(
+        String step, RawCall call, int maxBytes, CompletableFuture<RawReply> future) {
       this.step = step;
       this.call = call;
+      this.maxBytes = maxBytes;
       this.future = future;
     }
 
@@ -234,16 +252,24 @@
 
     @Override
     public void onContent(ByteBuffer part, Runnable acknowledge) {
-      body.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
-      if (body.size() > MAX_FETCHED_BYTES && cancellation != null) {
-        cancellation.cancel("response body is larger than " + MAX_FETCHED_BYTES + " bytes");
-        return;
+      if (body.size() + part.remaining() <= maxBytes) {
+        body.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
+      } else {
+        tooLarge = true;
+        if (cancellation != null) {
+          cancellation.cancel("response body is larger than " + maxBytes + " bytes");
+          return;
+        }
       }
       acknowledge.run();
     }
 
     @Override
     public void onSuccess() {
+      if (tooLarge) {
+        onFailure(new IOException("response body is larger than " + maxBytes + " bytes"));
+        return;
+      }
       future.complete(new RawReply(status, fields, body.toByteArray()));
     }
 
