Connect instances through a bounded number of hubs

Cause: the instances formed a full mesh with a heartbeat each 0.4 s on every link, so that 95 instances sent 22,000 messages a second on machines of 0.36 cores, and the batcher of a service was any of them.

Each instance links to the hubs only; hubs hold the roles and report the states of the instances that are linked to them.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/FewInstancesRead.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/FewInstancesRead.java
@@ -1,16 +1,14 @@
 package org.arbutusspar.core.peer;
 
-import java.util.List;
 import org.arbutusspar.core.Nanos;
 
 /**
  * A few instances read the store, and the others copy the changes from them.
  *
  * <p>Load pattern: the store is asked continuously, also while nothing changes, and each call has a
- * price, whereas a change is rare. The first {@link #READERS} instances of the ranking that reach
- * the store read it. Any other instance reads as well while no peer has had an answer of the store
- * within {@link #MAX_CONTACT_AGE_NANOS}, so that the loss of all readers delays a change by that
- * time at most.
+ * price, whereas a change is rare. The first {@link #READERS} hubs that reach the store read it.
+ * Any other instance reads as well while no peer has had an answer of the store within {@link
+ * #MAX_CONTACT_AGE_NANOS}, so that the loss of all readers delays a change by that time at most.
  */
 public final class FewInstancesRead implements StoreReaders {
 
@@ -41,9 +39,8 @@
   }
 
   private static boolean isAmongReaders(PeerTable peers, long now) {
-    List<Peer> ranked = peers.ranked(now);
     int ahead = 0;
-    for (Peer peer : ranked) {
+    for (Peer peer : peers.hubs(now)) {
       if (peer.equals(peers.self())) {
         return ahead < READERS;
       }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/InstanceRanking.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/InstanceRanking.java
@@ -3,12 +3,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import org.arbutusspar.core.balancing.Rendezvous;
 
 /**
  * Order in which instances take on work for the whole deployment: those with the most processing
- * capacity first, and equal ones by a hash of their names. Instances that know the same instances
- * agree on the order.
+ * capacity first, and of equal ones those that run longest, so that an instance which starts or
+ * restarts takes over no work. Instances that know the same instances agree on the order.
  */
 final class InstanceRanking {
 
@@ -25,7 +24,7 @@
         .sorted(
             Comparator.comparingInt(Peer::capacity)
                 .reversed()
-                .thenComparingLong(peer -> Rendezvous.hash(peer.name()))
+                .thenComparingLong(Peer::incarnation)
                 .thenComparing(Peer::name))
         .toList();
   }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/FewInstancesReadTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/FewInstancesReadTest.java
@@ -35,14 +35,14 @@
 
   private static PeerStatus status(boolean unreachable, long contactAgeMillis) {
     StoreView view = new StoreView(unreachable, contactAgeMillis, Map.of());
-    return new PeerStatus(true, false, view, Map.of(), Set.of());
+    return new PeerStatus(true, false, 400, view, Map.of(), Set.of());
   }
 
   /** Returns the table of each instance by its name; the given instances cannot reach the store. */
   private static Map<String, PeerTable> tables(int count, Set<String> unreachable) {
     Map<String, PeerTable> tables = new HashMap<>();
     for (int self = 1; self <= count; self++) {
-      PeerTable table = PeerTable.create(peer(self), 1_000);
+      PeerTable table = PeerTable.create(peer(self), FullMeshTopology.create());
       table.ownStatus(status(unreachable.contains("e" + self), 0));
       for (int other = 1; other <= count; other++) {
         if (other != self) {
@@ -113,13 +113,13 @@
     Map<String, PeerTable> tables = tables(9, Set.of());
     String reader = readers(tables, StoreRole.READER, 0).iterator().next();
     PeerTable table = tables.get(reader);
-    table.ownStatus(new PeerStatus(true, true, StoreView.NONE, Map.of(), Set.of()));
+    table.ownStatus(new PeerStatus(true, true, 400, StoreView.NONE, Map.of(), Set.of()));
     assertEquals(StoreRole.FOLLOWER, READERS.role(table, 0));
   }
 
   @Test
   void instanceWithoutPeersReads() {
-    PeerTable alone = PeerTable.create(peer(1), 1_000);
+    PeerTable alone = PeerTable.create(peer(1), FullMeshTopology.create());
     assertEquals(StoreRole.READER, READERS.role(alone, 0));
   }
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/PeerTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/PeerTableTest.java
@@ -42,14 +42,14 @@
   }
 
   private static PeerStatus status(boolean ready, boolean leaving, long offset) {
-    return new PeerStatus(ready, leaving, view(offset), Map.of(), Set.of());
+    return new PeerStatus(ready, leaving, 400, view(offset), Map.of(), Set.of());
   }
 
   /**
    * Returns the table of one instance with a number of live peers, whose heartbeats came at time 0.
    */
   private static PeerTable table(int self, int others) {
-    PeerTable table = PeerTable.create(peer(self, 1), 1_000);
+    PeerTable table = PeerTable.create(peer(self, 1), FullMeshTopology.create());
     table.ownStatus(status(true, false, 5));
     for (int i = 1; i <= others + 1; i++) {
       if (i != self) {
@@ -87,7 +87,7 @@
     assertNotEquals(batcher, table.roleHolder(service, 0));
     table.onHeartbeat(batcher, status(true, false, 5), 0);
     assertEquals(batcher, table.roleHolder(service, 0));
-    table.onDown(batcher);
+    table.onDown(batcher, true, 0);
     assertNotEquals(batcher, table.roleHolder(service, 0));
     assertEquals(
         "e1",
@@ -130,7 +130,7 @@
   }
 
   private static PeerStatus statusWithRole(boolean leaving, String role) {
-    return new PeerStatus(true, leaving, view(5), Map.of(), Set.of(role));
+    return new PeerStatus(true, leaving, 400, view(5), Map.of(), Set.of(role));
   }
 
   /**
@@ -142,7 +142,7 @@
     PeerTable table = table(1, 5);
     String service = serviceBatchedElsewhere(table);
     String first = table.roleHolder(service, 0);
-    table.onDown(first);
+    table.onDown(first, true, 0);
     String second = table.roleHolder(service, 0);
     if (second.equals("e1")) {
       table.ownStatus(statusWithRole(false, service));
@@ -188,7 +188,7 @@
     Map<String, QueueWait> waits = Map.of(service, new QueueWait(300, 900));
     table.onHeartbeat(
         table.roleHolder(service, 0),
-        new PeerStatus(true, false, view(5), waits, Set.of(service)),
+        new PeerStatus(true, false, 400, view(5), waits, Set.of(service)),
         0);
     assertEquals(300, table.queueWait(service, Nanos.ofMillis(400)).millis(false));
     assertEquals(700, table.queueWait(service, Nanos.ofMillis(900)).millis(false));
@@ -200,8 +200,8 @@
     String service = serviceBatchedElsewhere(table);
     String first = table.roleHolder(service, 0);
     Map<String, QueueWait> waits = Map.of(service, new QueueWait(300, 900));
-    table.onHeartbeat(first, new PeerStatus(true, false, view(5), waits, Set.of(service)), 0);
-    table.onDown(first);
+    table.onHeartbeat(first, new PeerStatus(true, false, 400, view(5), waits, Set.of(service)), 0);
+    table.onDown(first, true, 0);
     assertNotEquals(first, table.roleHolder(service, 0));
     assertEquals(500, table.queueWait(service, Nanos.ofMillis(200)).millis(false));
     assertEquals(0, table.queueWait(service, Nanos.ofMillis(3_500)).millis(false));
@@ -212,7 +212,7 @@
     PeerTable table = table(1, 5);
     String batcher = table.roleHolder("x", 0);
     Map<String, QueueWait> waits = Map.of("x", new QueueWait(300, 900));
-    PeerStatus status = new PeerStatus(true, false, view(5), waits, Set.of());
+    PeerStatus status = new PeerStatus(true, false, 400, view(5), waits, Set.of());
     if (batcher.equals("e1")) {
       table.ownStatus(status);
     } else {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.peer.FewInstancesRead;
+import org.arbutusspar.core.peer.HubTopology;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.PeerTable;
@@ -135,7 +136,7 @@
             settings.links(),
             settings.clients(),
             settings.capacity());
-    peers = PeerTable.create(self, PeerNetwork.LIVENESS_TIMEOUT_MILLIS);
+    peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
     replicas = ReplicaRegistry.create();
     engines = new EnginePlacement(peers, peerNetwork, replicas, loop);
@@ -384,7 +385,14 @@
   private void updateStatus() {
     Set<String> roles = new HashSet<>(pieces.activeRoles());
     roles.addAll(engines.activeRoles());
-    PeerStatus status = new PeerStatus(ready, leaving, tables.view(), pieces.queueWaits(), roles);
+    PeerStatus status =
+        new PeerStatus(
+            ready,
+            leaving,
+            peers.heartbeatMillis(loop.now()),
+            tables.view(),
+            pieces.queueWaits(),
+            roles);
     PeerStatus previous = peers.ownStatus();
     peers.ownStatus(status);
     if (previous.ready() != status.ready() || previous.leaving() != status.leaving()) {
@@ -515,7 +523,7 @@
     }
 
     @Override
-    public void onHeartbeatSent() {
+    public void onTick() {
       tables.updateRole();
       updateStatus();
       updateSnapshot();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.peer.Peer;
+import org.arbutusspar.core.peer.PeerState;
+import org.arbutusspar.core.peer.PeerStateReport;
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.PeerTable;
 import org.arbutusspar.io.EventLog;
@@ -18,25 +20,37 @@
 import org.arbutusspar.io.link.PeerMessage;
 
 /**
- * Connections to the peers, one to each known peer, over which heartbeats and other messages are
- * sent. Of two instances, the one whose name sorts first dials. The other one dials only if there
- * is still no connection after {@link #HEARTBEATS_BEFORE_DIAL} heartbeats.
+ * Connections to the peers, over which heartbeats and other messages are sent. An instance dials
+ * the hubs. Of two hubs, the one whose name sorts first dials, and the other one only if there is
+ * still no connection after {@link #TICKS_BEFORE_DIAL} ticks. Hubs report the states of the
+ * instances that are connected to them.
  *
  * <p>Not thread-safe: all methods run on the event loop.
  */
 final class PeerNetwork implements AutoCloseable {
 
-  /** Interval of the heartbeats, in milliseconds. */
-  static final long HEARTBEAT_INTERVAL_MILLIS = 400;
+  /** Interval of the checks of connections, in milliseconds. */
+  static final long TICK_INTERVAL_MILLIS = 400;
 
-  /** Time without a heartbeat after which a peer is no longer live, in milliseconds. */
-  static final long LIVENESS_TIMEOUT_MILLIS = 1_000;
+  /** Time without a heartbeat after which a hub is no longer live, in milliseconds. */
+  static final long HUB_LIVENESS_TIMEOUT_MILLIS = 1_000;
+
+  /** Time after which an attempt to connect has failed, in milliseconds. */
+  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  /** Number of ticks without a connection that the hub whose name sorts last waits through. */
+  private static final int TICKS_BEFORE_DIAL = 3;
 
   /**
-   * Number of heartbeats without a connection that the instance whose name sorts last waits through
-   * before it dials.
+   * Number of ticks after which a connection to a peer that should not be a hub any more is closed.
    */
-  private static final int HEARTBEATS_BEFORE_DIAL = 3;
+  private static final int TICKS_BEFORE_CLOSE = 12;
+
+  /** Tolerance by which a heartbeat may be sent early, in milliseconds. */
+  private static final long TICK_SLACK_MILLIS = 50;
+
+  /** Reason of closing a connection to a peer that is no longer a hub. */
+  private static final String UNNEEDED = "no longer a hub";
 
   private final PeerTable table;
   private final EventLoop loop;
@@ -45,8 +59,16 @@
   private final List<Endpoint> seeds;
   private final Map<String, FrameConnection> connections = new HashMap<>();
   private final Map<FrameConnection, String> peerNames = new HashMap<>();
-  private final Set<Endpoint> dialing = new HashSet<>();
-  private final Map<String, Integer> heartbeatsWithoutConnection = new HashMap<>();
+
+  /** Name of the dialed peer, by endpoint; the empty string for a seed. */
+  private final Map<Endpoint, String> dialing = new HashMap<>();
+
+  private final Map<String, Integer> ticksWithoutConnection = new HashMap<>();
+  private final Map<String, Integer> ticksUnneeded = new HashMap<>();
+  private final PeerStateReport report = PeerStateReport.create();
+  private boolean reporting;
+  private long lastHeartbeat;
+  private long announcedMillis;
   private FrameNetwork network;
 
   private PeerNetwork(
@@ -76,37 +98,86 @@
   /** Listens for connections, dials the seeds and starts the heartbeats. */
   void start() {
     network = FrameNetwork.start(table.self().links(), new Handler());
-    seeds.stream().filter(seed -> !seed.equals(table.self().links())).forEach(this::dial);
-    loop.after(HEARTBEAT_INTERVAL_MILLIS, this::sendHeartbeat);
+    seeds.stream()
+        .filter(seed -> !seed.equals(table.self().links()))
+        .forEach(seed -> dial(seed, ""));
+    lastHeartbeat = loop.now();
+    loop.after(TICK_INTERVAL_MILLIS, this::tick);
   }
 
-  private void sendHeartbeat() {
+  private void tick() {
     long now = loop.now();
-    sendToAll(new PeerMessage.Heartbeat(table.ownStatus()));
-    for (Peer peer : table.all()) {
-      if (connections.containsKey(peer.name())) {
-        heartbeatsWithoutConnection.remove(peer.name());
-        closeIfTimedOut(peer, now);
-        continue;
-      }
-      int unconnectedCount = heartbeatsWithoutConnection.merge(peer.name(), 1, Integer::sum);
-      boolean dialsFirst = table.self().name().compareTo(peer.name()) < 0;
-      if (dialsFirst || unconnectedCount > HEARTBEATS_BEFORE_DIAL) {
-        dial(peer.links());
+    for (String name : List.copyOf(connections.keySet())) {
+      if (!table.isLive(name, now)) {
+        connections.get(name).close("silent");
       }
     }
-    listener.onHeartbeatSent();
-    loop.after(HEARTBEAT_INTERVAL_MILLIS, this::sendHeartbeat);
+    List<Peer> targets = table.linkTargets(now);
+    targets.forEach(this::dialIfDue);
+    closeUnneeded(Set.copyOf(PeerTable.names(targets)));
+    reportStates(now);
+    listener.onTick();
+    // The peers expect the interval of the last heartbeat until they are told another one.
+    long intervalMillis = Math.min(announcedMillis, table.ownStatus().heartbeatMillis());
+    if (now - lastHeartbeat > Nanos.ofMillis(intervalMillis - TICK_SLACK_MILLIS)) {
+      sendStatus();
+    }
+    loop.after(TICK_INTERVAL_MILLIS, this::tick);
+  }
+
+  private void dialIfDue(Peer peer) {
+    if (connections.containsKey(peer.name())) {
+      ticksWithoutConnection.remove(peer.name());
+      return;
+    }
+    int ticks = ticksWithoutConnection.merge(peer.name(), 1, Integer::sum);
+    if (dialsFirst(peer) || ticks > TICKS_BEFORE_DIAL) {
+      dial(peer.links(), peer.name());
+    }
+  }
+
+  /** Returns whether this instance dials a peer at once, rather than waiting for the peer. */
+  private boolean dialsFirst(Peer peer) {
+    return !table.isHub(loop.now()) || table.self().name().compareTo(peer.name()) < 0;
   }
 
-  private void closeIfTimedOut(Peer peer, long now) {
-    if (!table.isLive(peer.name(), now)) {
-      connections.get(peer.name()).close("silent");
+  /** Closes the connections that this instance opened to peers that are no longer hubs. */
+  private void closeUnneeded(Set<String> targets) {
+    ticksUnneeded
+        .keySet()
+        .removeIf(name -> targets.contains(name) || !connections.containsKey(name));
+    connections.forEach(
+        (name, connection) -> {
+          if (connection.isOutgoing()
+              && !targets.contains(name)
+              && ticksUnneeded.merge(name, 1, Integer::sum) > TICKS_BEFORE_CLOSE) {
+            connection.close(UNNEEDED);
+          }
+        });
+  }
+
+  /** Sends the states of peers that have changed since the last tick, if this instance is a hub. */
+  private void reportStates(long now) {
+    boolean wasReporting = reporting;
+    reporting |= reportsStates(now);
+    List<PeerState> changed = report.update(table.states(now));
+    List<PeerState> unreported = wasReporting ? changed : report.all();
+    if (reporting && !unreported.isEmpty()) {
+      sendToAll(new PeerMessage.States(unreported));
     }
   }
 
   /**
-   * Adds a peer that was discovered, and dials it if its name sorts after that of this instance.
+   * Returns whether other instances have selected this one as a hub: it has more connections than
+   * it needs itself. From then on it reports for as long as it runs, since the receivers keep the
+   * last state.
+   */
+  private boolean reportsStates(long now) {
+    return connections.size() > table.hubs(now).size();
+  }
+
+  /**
+   * Adds a peer that was discovered, and dials it if it is a hub.
    *
    * @param peer the peer, not null
    */
@@ -120,21 +191,24 @@
           peer.incarnation(),
           "links",
           peer.links());
-      boolean dialsFirst = table.self().name().compareTo(peer.name()) < 0;
-      if (dialsFirst && !connections.containsKey(peer.name())) {
-        dial(peer.links());
+      boolean isTarget = table.linkTargets(loop.now()).contains(peer);
+      if (isTarget && dialsFirst(peer) && !connections.containsKey(peer.name())) {
+        dial(peer.links(), peer.name());
       }
     }
   }
 
-  private void dial(Endpoint endpoint) {
-    if (dialing.add(endpoint)) {
+  private void dial(Endpoint endpoint, String name) {
+    if (dialing.putIfAbsent(endpoint, name) == null) {
       network.connect(endpoint);
+      loop.after(CONNECT_TIMEOUT_MILLIS, () -> network.cancelConnect(endpoint));
     }
   }
 
   /** Sends the own status to all peers at once, ahead of the next heartbeat. */
   void sendStatus() {
+    lastHeartbeat = loop.now();
+    announcedMillis = table.ownStatus().heartbeatMillis();
     sendToAll(new PeerMessage.Heartbeat(table.ownStatus()));
   }
 
@@ -173,6 +247,9 @@
     PeerMessage hello = new PeerMessage.Hello(table.self(), table.all());
     connection.send(PeerCodec.encode(hello, loop.now()));
     connection.send(PeerCodec.encode(new PeerMessage.Heartbeat(table.ownStatus()), loop.now()));
+    if (reporting) {
+      connection.send(PeerCodec.encode(new PeerMessage.States(report.all()), loop.now()));
+    }
   }
 
   private void onFrame(FrameConnection connection, byte[] body) {
@@ -193,6 +270,8 @@
       connection.close("message before hello");
     } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
       onHeartbeat(name, heartbeat.status());
+    } else if (message instanceof PeerMessage.States states) {
+      table.onReport(name, states.states());
     } else {
       listener.onMessage(name, message);
     }
@@ -220,12 +299,19 @@
   private void onClosed(FrameConnection connection, String reason) {
     String name = peerNames.remove(connection);
     if (name != null && connections.remove(name, connection)) {
-      table.onDown(name);
+      table.onDown(name, !reason.equals(UNNEEDED), loop.now());
       log.write("fellow-down", "fellow", name, "reason", reason);
       listener.onDown(name);
     }
   }
 
+  private void onDialFailed(Endpoint endpoint) {
+    String name = dialing.remove(endpoint);
+    if (name != null && !connections.containsKey(name)) {
+      table.onUnreachable(name, loop.now());
+    }
+  }
+
   @Override
   public void close() {
     if (network != null) {
@@ -258,8 +344,8 @@
      */
     void onDown(String name);
 
-    /** Called after each heartbeat that this instance has sent at the regular interval. */
-    void onHeartbeatSent();
+    /** Called at a regular interval, before a heartbeat is sent. */
+    void onTick();
   }
 
   /** Posts the events of the network's thread to the event loop. */
@@ -281,7 +367,7 @@
 
     @Override
     public void onFailed(Endpoint peer, String reason) {
-      loop.post(() -> dialing.remove(peer));
+      loop.post(() -> onDialFailed(peer));
     }
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
@@ -88,7 +88,7 @@
   private final RecentReleases recentReleases =
       RecentReleases.create(
           Nanos.ofMillis(
-              PeerNetwork.LIVENESS_TIMEOUT_MILLIS + 2 * PeerNetwork.HEARTBEAT_INTERVAL_MILLIS));
+              PeerNetwork.HUB_LIVENESS_TIMEOUT_MILLIS + 2 * PeerNetwork.TICK_INTERVAL_MILLIS));
 
   private boolean releaseScheduled;
   private boolean queueCheckScheduled;
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameNetwork.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameNetwork.java
@@ -9,7 +9,9 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -42,6 +44,10 @@
   private final FrameHandler handler;
   private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
   private final Thread thread = new Thread(this::run, "links");
+
+  /** Connections that are not established yet, by endpoint. */
+  private final Map<Endpoint, FrameConnection> connecting = new HashMap<>();
+
   private volatile boolean closed;
 
   private FrameNetwork(
@@ -89,6 +95,21 @@
     execute(() -> startConnecting(peer));
   }
 
+  /**
+   * Gives up an attempt to open a connection; has no effect once it is established.
+   *
+   * @param peer endpoint that is being connected, not null
+   */
+  public void cancelConnect(Endpoint peer) {
+    execute(
+        () -> {
+          FrameConnection connection = connecting.get(peer);
+          if (connection != null) {
+            drop(connection, "connect timeout");
+          }
+        });
+  }
+
   /**
    * Sends a frame on several connections, with one wake-up of the network's thread.
    *
@@ -118,10 +139,12 @@
       FrameConnection connection = new FrameConnection(this, channel, peer, true);
       SelectionKey key = channel.register(selector, SelectionKey.OP_CONNECT, connection);
       connection.key(key);
+      connecting.put(peer, connection);
       if (channel.connect(new InetSocketAddress(peer.host(), peer.port()))) {
         onConnected(connection);
       }
     } catch (IOException e) {
+      connecting.remove(peer);
       closeQuietly(channel);
       handler.onFailed(peer, e.toString());
     }
@@ -192,6 +215,7 @@
   }
 
   private void onConnected(FrameConnection connection) {
+    connecting.remove(connection.peer(), connection);
     connection.onConnected();
     handler.onOpen(connection);
   }
@@ -204,6 +228,7 @@
     if (!connection.markClosed()) {
       return;
     }
+    connecting.remove(connection.peer(), connection);
     closeQuietly(connection.channel());
     if (connection.wasConnected()) {
       handler.onClosed(connection, reason);
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -10,6 +10,7 @@
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.peer.Peer;
+import org.arbutusspar.core.peer.PeerState;
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.StoreView;
 import org.arbutusspar.core.peer.TableCopy;
@@ -46,6 +47,7 @@
   private static final int PLACE_REQUEST = 9;
   private static final int PLACE_RESPONSE = 10;
   private static final int PLACEMENT_UPDATE = 11;
+  private static final int STATES = 12;
 
   /** Maximum number of entries of an encoded list or map. */
   private static final int MAX_ITEMS = 100_000;
@@ -71,6 +73,12 @@
       } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
         packer.packInt(HEARTBEAT);
         packStatus(packer, heartbeat.status());
+      } else if (message instanceof PeerMessage.States states) {
+        packer.packInt(STATES).packArrayHeader(states.states().size());
+        for (PeerState state : states.states()) {
+          packer.packString(state.name()).packBoolean(state.live());
+          packer.packBoolean(state.ready()).packBoolean(state.leaving());
+        }
       } else if (message instanceof PeerMessage.Pieces pieces) {
         packer.packInt(PIECES).packString(pieces.service());
         packer.packArrayHeader(pieces.pieces().size());
@@ -125,6 +133,7 @@
       return switch (type) {
         case HELLO -> new PeerMessage.Hello(peer(unpacker), list(unpacker, PeerCodec::peer));
         case HEARTBEAT -> new PeerMessage.Heartbeat(status(unpacker));
+        case STATES -> new PeerMessage.States(list(unpacker, PeerCodec::state));
         case PIECES ->
             new PeerMessage.Pieces(unpacker.unpackString(), list(unpacker, u -> piece(u, now)));
         case OUTCOMES -> new PeerMessage.Outcomes(list(unpacker, PeerCodec::outcome));
@@ -168,8 +177,17 @@
         unpacker.unpackInt());
   }
 
+  private static PeerState state(MessageUnpacker unpacker) throws IOException {
+    return new PeerState(
+        unpacker.unpackString(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean());
+  }
+
   private static void packStatus(MessageBufferPacker packer, PeerStatus status) throws IOException {
     packer.packBoolean(status.ready()).packBoolean(status.leaving());
+    packer.packLong(status.heartbeatMillis());
     packStoreView(packer, status.store());
     packer.packMapHeader(status.waits().size());
     for (Map.Entry<String, QueueWait> entry : status.waits().entrySet()) {
@@ -183,6 +201,7 @@
     return new PeerStatus(
         unpacker.unpackBoolean(),
         unpacker.unpackBoolean(),
+        unpacker.unpackLong(),
         storeView(unpacker),
         waits(unpacker),
         Set.copyOf(list(unpacker, MessageUnpacker::unpackString)));
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.arbutusspar.core.peer.Peer;
+import org.arbutusspar.core.peer.PeerState;
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.TableCopy;
 import org.arbutusspar.core.peer.TableName;
@@ -29,6 +30,13 @@
    */
   record Heartbeat(PeerStatus status) implements PeerMessage {}
 
+  /**
+   * States of instances to which the sender is connected, for receivers that are not.
+   *
+   * @param states the states that have changed; all states in the first message
+   */
+  record States(List<PeerState> states) implements PeerMessage {}
+
   /**
    * Pieces of requests for the receiver to batch. On the wire, their times are relative to the time
    * of sending; see {@link PeerCodec}.
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -15,6 +15,7 @@
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.peer.Peer;
+import org.arbutusspar.core.peer.PeerState;
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.StoreView;
 import org.arbutusspar.core.peer.TableCopy;
@@ -65,6 +66,7 @@
             new PeerStatus(
                 true,
                 false,
+                700,
                 new StoreView(true, 7, Map.of(TableName.REPLICAS, new TableVersion(9, 3))),
                 Map.of("s", new QueueWait(4, 5)),
                 Set.of("s"))));
@@ -76,6 +78,7 @@
             List.of(
                 PieceOutcome.computed(new PieceId("id", 0, 1), new StageResult("h", "e-1", 4)),
                 PieceOutcome.failed(new PieceId("id", 0, 2), PieceOutcome.LATE))));
+    assertRoundTrip(new PeerMessage.States(List.of(new PeerState("e-1", true, true, false))));
     assertRoundTrip(new PeerMessage.Cancel("id"));
     assertRoundTrip(new PeerMessage.Release(List.of("a", "b")));
     assertRoundTrip(new PeerMessage.TableRequest(TableName.REPLICAS, 4));
