Look at a client's connection before its request is sent on

The connection is now read without waiting before the stages start and before each send; bytes that are found are kept. Not mended: how long a request waited unread is not known, so its time counts from when it was read.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
@@ -50,6 +50,11 @@
     StreamHost.onDisconnect(request, action);
   }
 
+  /** Returns whether the client has closed the connection. */
+  boolean isDisconnected() {
+    return StreamHost.isDisconnected(request);
+  }
+
   /** Returns whether no response has been started and the exchange has not been aborted. */
   boolean isUnanswered() {
     return state.get() == State.UNANSWERED;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -96,7 +96,10 @@
 
   private boolean ended;
   private UpstreamAttempt attempt;
+
+  /** Ends the request before its deadline; null until the request is started. */
   private EventLoop.Timer timer;
+
   private Runnable onEnd = () -> {};
 
   ServedRequest(
@@ -129,6 +132,11 @@
    */
   void start(Runnable whenEnded) {
     onEnd = whenEnded;
+    if (ended) {
+      // Rejected at the end of a shutdown before this task ran.
+      onEnd.run();
+      return;
+    }
     context.onRequest(service);
     timer = context.loop().at(deadline - Nanos.ofMillis(RESPONSE_MARGIN_MILLIS), this::onDeadline);
     exchange.onDisconnect(() -> context.loop().post(this::onClientDisconnect));
@@ -152,6 +160,8 @@
             request.pieceCounts());
     if (route.stages().isEmpty()) {
       dispatch();
+    } else if (exchange.isDisconnected()) {
+      onClientDisconnect();
     } else {
       startStages();
     }
@@ -204,6 +214,9 @@
   }
 
   private void sendOrFail(Optional<UpstreamReplica> replica) {
+    if (!ended && exchange.isDisconnected()) {
+      onClientDisconnect();
+    }
     if (ended) {
       // The request ended before a replica was chosen, so it must not count as in flight there.
       context.engines().report(service, request.id(), PeerMessage.RunState.ENDED);
@@ -411,7 +424,9 @@
       return;
     }
     ended = true;
-    timer.cancel();
+    if (timer != null) {
+      timer.cancel();
+    }
     context.engines().report(service, request.id(), PeerMessage.RunState.ENDED);
     if (attempt != null) {
       attempt.cancel(reason);
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/DisconnectDetectingEndPoint.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/DisconnectDetectingEndPoint.java
@@ -162,6 +162,32 @@
     }
   }
 
+  /**
+   * Returns whether the client has closed the connection. Looks for input if none is known; bytes
+   * that it finds are kept until Jetty reads them.
+   */
+  boolean isDisconnected() {
+    synchronized (lock) {
+      if (!inputEnded && !readAhead.hasRemaining() && jettyCallback == null) {
+        fillReadAhead();
+      }
+      return inputEnded;
+    }
+  }
+
+  private void fillReadAhead() {
+    ByteBuffer buffer = BufferUtil.allocate(READ_AHEAD_BYTES);
+    try {
+      int count = super.fill(buffer);
+      inputEnded = count < 0;
+      if (count > 0) {
+        readAhead = buffer;
+      }
+    } catch (IOException e) {
+      inputEnded = true;
+    }
+  }
+
   /** Removes the action set by {@link #onDisconnect}. */
   void clearOnDisconnect() {
     synchronized (lock) {
@@ -254,7 +280,7 @@
         readInterestSet = false;
         callback = jettyCallback;
         jettyCallback = null;
-        if (callback == null) {
+        if (callback == null && !readAhead.hasRemaining()) {
           disconnected = readIntoReadAhead();
         }
       }
@@ -266,17 +292,9 @@
     }
 
     private boolean readIntoReadAhead() {
-      ByteBuffer buffer = BufferUtil.allocate(READ_AHEAD_BYTES);
-      try {
-        int count = DisconnectDetectingEndPoint.super.fill(buffer);
-        inputEnded = count < 0;
-        if (count > 0) {
-          readAhead = buffer;
-        } else if (count == 0) {
-          readInterestSet = DisconnectDetectingEndPoint.super.tryFillInterested(readAheadCallback);
-        }
-      } catch (IOException e) {
-        inputEnded = true;
+      fillReadAhead();
+      if (!inputEnded && !readAhead.hasRemaining()) {
+        readInterestSet = DisconnectDetectingEndPoint.super.tryFillInterested(readAheadCallback);
       }
       return inputEnded;
     }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/StreamHost.java
@@ -144,6 +144,20 @@
     }
   }
 
+  /**
+   * Returns whether the client has closed the connection of a request, as far as its bytes have
+   * reached this machine. Unlike the action of {@link #onDisconnect}, this does not wait for a
+   * thread that reads them.
+   *
+   * @param request the request, not null
+   * @return whether the client can no longer receive the response
+   */
+  public static boolean isDisconnected(Request request) {
+    return request.getConnectionMetaData().getConnection().getEndPoint()
+            instanceof DisconnectDetectingEndPoint endPoint
+        && endPoint.isDisconnected();
+  }
+
   /**
    * Removes the action set by {@link #onDisconnect}.
    *
