Answer all requests that run during a planned stop under load

A leaving instance rejects requests other than streams with less than 1 s left (streams with less than 4 s, as before), and all of them once it is drained, before the process ends.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -51,6 +51,11 @@
    */
   private static final long EXPECTED_STREAM_MILLIS = 4_000;
 
+  /**
+   * Like {@link #EXPECTED_STREAM_MILLIS}, for other requests: the longest that most of them take.
+   */
+  private static final long EXPECTED_PLAIN_MILLIS = 1_000;
+
   /** Retry-After of an instance that has just started, is full or is leaving, in seconds. */
   private static final String RETRY_AFTER_SECONDS = "0.4";
 
@@ -67,6 +72,7 @@
   private volatile long shutdownEnd;
 
   private volatile boolean leaving;
+  private volatile boolean rejecting;
 
   ClientHandler(RequestContext context) {
     this.context = context;
@@ -92,11 +98,23 @@
     List.copyOf(unfinishedRequests).forEach(ServedRequest::rejectUnsent);
   }
 
+  /**
+   * Rejects all requests from now on. A request that is not rejected counts as active before this
+   * method returns.
+   *
+   * @return true if requests were accepted until now
+   */
+  boolean rejectNew() {
+    boolean first = !rejecting;
+    rejecting = true;
+    return first;
+  }
+
   private boolean shutdownWouldCut(Route route) {
     long remainingNanos = shutdownEnd - context.loop().now();
-    return leaving
-        && route.kind() == RouteKind.STREAM
-        && remainingNanos < Nanos.ofMillis(EXPECTED_STREAM_MILLIS);
+    long expectedMillis =
+        route.kind() == RouteKind.STREAM ? EXPECTED_STREAM_MILLIS : EXPECTED_PLAIN_MILLIS;
+    return leaving && remainingNanos < Nanos.ofMillis(expectedMillis);
   }
 
   /** Returns the number of requests whose body has been read and that have not ended. */
@@ -202,6 +220,11 @@
       ClientExchange exchange,
       long arrivedAt) {
     active.incrementAndGet();
+    if (rejecting) {
+      active.decrementAndGet();
+      reject(exchange, clientRequest.id(), SERVICE_UNAVAILABLE, "leaving");
+      return;
+    }
     bufferedBodyBytes.addAndGet(body.length);
     ServedRequest request =
         new ServedRequest(
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -459,10 +459,15 @@
     long maxMillis = settings.bounds().shutdownMillis() - SHUTDOWN_MARGIN_MILLIS;
     boolean idle = clients.active() == 0 && pieces.isIdle();
     if (elapsedMillis >= maxMillis) {
+      clients.rejectNew();
       clients.rejectUnsent();
       loop.after(LAST_RESPONSES_MILLIS, () -> stop(elapsedMillis));
     } else if (idle && elapsedMillis >= Math.min(MIN_LEAVE_MILLIS, maxMillis)) {
-      stop(elapsedMillis);
+      if (clients.rejectNew()) {
+        loop.after(LAST_RESPONSES_MILLIS, () -> awaitDrained(startedAt));
+      } else {
+        stop(elapsedMillis);
+      }
     } else {
       loop.after(LEAVE_CHECK_INTERVAL_MILLIS, () -> awaitDrained(startedAt));
     }
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayTest.java
@@ -10,8 +10,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.io.http.RawClient;
@@ -296,6 +299,53 @@
         engine.executedHeaders().stream().noneMatch(run -> "a".equals(run.get("X-Attempt-Id"))));
   }
 
+  /**
+   * Guards against requests that are accepted during a planned stop and cut off without a response.
+   * Clients send without pause until the instance no longer accepts connections. A request that no
+   * replica has run may cross the close of its connection.
+   */
+  @Test
+  void plannedStopUnderLoadAnswersEveryRequestThatRuns() throws IOException, InterruptedException {
+    Instance instance = startReadyInstance();
+    engine.setCapacity(4, 64, 30);
+    Set<String> answered = ConcurrentHashMap.newKeySet();
+    AtomicBoolean stopped = new AtomicBoolean();
+    List<Thread> clients = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      String prefix = "load-" + i + "-";
+      Thread thread = new Thread(() -> sendUntil(stopped, instance, prefix, answered));
+      thread.start();
+      clients.add(thread);
+    }
+    await(() -> answered.size() > 100);
+    instance.gateway().leave("test");
+    instance.gateway().await();
+    instance.gateway().close();
+    stopped.set(true);
+    for (Thread client : clients) {
+      client.join();
+    }
+    List<String> cut =
+        engine.executedHeaders().stream()
+            .map(run -> run.get("X-Attempt-Id"))
+            .filter(id -> id.startsWith("load-") && !answered.contains(id))
+            .toList();
+    assertEquals(List.of(), cut);
+  }
+
+  private void sendUntil(
+      AtomicBoolean stopped, Instance instance, String prefix, Set<String> answered) {
+    for (int i = 0; !stopped.get(); i++) {
+      String id = prefix + i;
+      try {
+        call(instance, i % 2 == 0 ? "/n/x" : "/p/x", id, "key");
+        answered.add(id);
+      } catch (CompletionException e) {
+        sleep(5);
+      }
+    }
+  }
+
   /**
    * Guards against pieces that are lost or delayed in a rolling restart under load. An instance
    * that leaves has to hand off its queue of pieces to the new batcher at once.
