--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -9,10 +9,13 @@
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.RouteKind;
+import org.arbutusspar.io.http.BodyFraming;
+import org.arbutusspar.io.http.EventStreamPosition;
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.io.http.RawClient;
 import org.arbutusspar.io.http.RawListener;
+import org.arbutusspar.io.http.RawReply;
 import org.arbutusspar.platform.ClientRequest;
 import org.arbutusspar.platform.UpstreamResponse;
 
@@ -51,6 +54,11 @@
   private volatile RawClient.Cancellation cancellation;
   private final AtomicReference<SendPhase> sendPhase = new AtomicReference<>(SendPhase.WAITING);
   private volatile UpstreamResponse response;
+  private volatile BodyFraming framing;
+  private volatile String mediaType = "-";
+
+  /** Position in the response if it is forwarded; used by one thread after the other. */
+  private final EventStreamPosition position = EventStreamPosition.create();
 
   /** Whether the response to the client has been started, so that parts are forwarded. */
   private volatile boolean forwarding;
@@ -153,6 +161,8 @@
   public void onHeaders(int status, List<HeaderField> fields) {
     UpstreamResponse header = UpstreamResponse.read(request.id(), status, fields);
     response = header;
+    framing = BodyFraming.of(fields);
+    mediaType = RawReply.first(fields, "Content-Type").orElse("-");
     boolean streamed = kind == RouteKind.STREAM && header.isSuccess() && header.valid();
     if (streamed && !cancelled && exchange.startResponse(header.status(), header.fields())) {
       forwarding = true;
@@ -175,6 +185,7 @@
       startReported = true;
       context.loop().post(this::reportStart);
     }
+    position.advance(part);
     exchange.writeContent(part, acknowledge);
   }
 
@@ -217,6 +228,7 @@
     }
     markEnded();
     if (forwarding) {
+      logEndOfStream(position.isInsideEvent() ? "inside-event" : "between-events");
       context.replicas().onValidResponse(replica, elapsedMillis());
       exchange.endResponse();
       owner.onResponseForwarded(response.status());
@@ -257,6 +269,7 @@
     markEnded();
     context.replicas().onNoResponse(replica, context.loop().now());
     if (forwarding) {
+      logEndOfStream(reason);
       owner.onResponseBroken(reason);
     } else if (!revoke()) {
       // Sending had started, so the replica may have run the request.
@@ -266,6 +279,27 @@
     }
   }
 
+  private void logEndOfStream(String end) {
+    context
+        .log()
+        .write(
+            "response-ended",
+            "id",
+            request.id(),
+            "replica",
+            replica.id(),
+            "framing",
+            framing,
+            "type",
+            mediaType,
+            "events",
+            position.events(),
+            "bytes",
+            position.bytes(),
+            "end",
+            end);
+  }
+
   private double elapsedMillis() {
     return Nanos.toMillis(context.loop().now() - startedAt);
   }
