Add a failing test: a stream that broke off reaches its client as complete

A replica sends a stream of events with neither a length nor chunks and closes its connection in an orderly way before the first event or inside one, or sends the last chunk inside an event. A whole stream that ends with its connection is forwarded, which a passing test shows.

--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -14,6 +15,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.io.http.RawReply;
@@ -105,6 +107,46 @@
     }
   }
 
+  /** A stream that broke off reached its client as complete, since its end was not marked. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Script.class,
+      names = {
+        "STREAM_CLOSED_BEFORE_EVENT",
+        "STREAM_CLOSED_INSIDE_EVENT",
+        "STREAM_LAST_CHUNK_INSIDE_EVENT"
+      })
+  void truncatedEventStreamIsNotCompleted(Script script) throws IOException {
+    Instance instance = startReadyInstance();
+    replaceEngine(instance, script);
+    for (int i = 0; i < 5; i++) {
+      var reply = send(instance, "/s/x", id(), "key");
+      assertThrows(CompletionException.class, reply::join);
+    }
+  }
+
+  @Test
+  void eventStreamThatEndsWithItsConnectionIsForwarded() throws IOException {
+    Instance instance = startReadyInstance();
+    replaceEngine(instance, Script.STREAM_UNTIL_CLOSE);
+    RawReply reply = call(instance, "/s/x", id(), "key");
+    assertEquals(200, reply.status());
+    assertEquals("id: 1\ndata: x\n\n".repeat(2), new String(reply.body(), StandardCharsets.UTF_8));
+  }
+
+  /** Replaces the engine, and waits until the instance sends requests to the new one. */
+  private void replaceEngine(Instance instance, Script script) throws IOException {
+    ScriptedReplica replica = closeAfterTest(ScriptedReplica.start(FIRST_ADDRESS, script));
+    store.putReplica("i-1", "");
+    store.putReplica(
+        "i-9", ReplicaStandin.listEntry(replica.endpoint(), SampleTraffic.ENGINE, false));
+    await(
+        () -> {
+          send(instance, "/s/x", id(), "key").handle((reply, failure) -> reply).join();
+          return !replica.received().isEmpty();
+        });
+  }
+
   /**
    * Guards against memory and processor time without bound: a replica sends bytes that are no
    * response until its caller closes the connection. The request may have run, so it must not be
