Fail streams that end inside an event instead of completing them

Cause: where a response has neither a length nor chunks, HTTP takes the end of the connection for the end of the body. A process that crashes ends its connections in the same way, so the HTTP client reported success and the instance sent the last chunk. The class of fault: completeness was taken from the transport alone, although the format of the body shows that it is not complete.

Fix: the position in the stream of events is followed byte by byte. A stream that ends inside an event, or that has no other end than its connection and no event, has failed; the client's connection is reset. The same holds for such bodies on routes that buffer, which get 502. Elsewhere: stage calls and the store's pages are decoded as a whole and fail if truncated; the project's own interface needs its end marker.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import org.apache.commons.lang3.StringUtils;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -33,6 +34,11 @@
    */
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  /** Reason of the failure of a stream that ended inside an event or without one. */
+  private static final String TRUNCATED = "truncated-stream";
+
   /** Whether the request may have been sent to the replica. */
   private enum SendPhase {
     /** No byte has been sent. */
@@ -55,9 +61,9 @@
   private final AtomicReference<SendPhase> sendPhase = new AtomicReference<>(SendPhase.WAITING);
   private volatile UpstreamResponse response;
   private volatile BodyFraming framing;
-  private volatile String mediaType = "-";
+  private volatile Optional<String> mediaType = Optional.empty();
 
-  /** Position in the response if it is forwarded; used by one thread after the other. */
+  /** Position in the body of the response; used by one thread after the other. */
   private final EventStreamPosition position = EventStreamPosition.create();
 
   /** Whether the response to the client has been started, so that parts are forwarded. */
@@ -162,7 +168,7 @@
     UpstreamResponse header = UpstreamResponse.read(request.id(), status, fields);
     response = header;
     framing = BodyFraming.of(fields);
-    mediaType = RawReply.first(fields, "Content-Type").orElse("-");
+    mediaType = RawReply.first(fields, "Content-Type");
     boolean streamed = kind == RouteKind.STREAM && header.isSuccess() && header.valid();
     if (streamed && !cancelled && exchange.startResponse(header.status(), header.fields())) {
       forwarding = true;
@@ -177,6 +183,7 @@
 
   @Override
   public void onContent(ByteBuffer part, Runnable acknowledge) {
+    position.advance(part);
     if (!forwarding) {
       bufferPart(part, acknowledge);
       return;
@@ -185,7 +192,6 @@
       startReported = true;
       context.loop().post(this::reportStart);
     }
-    position.advance(part);
     exchange.writeContent(part, acknowledge);
   }
 
@@ -227,8 +233,12 @@
       return;
     }
     markEnded();
+    if (forwarding && isTruncatedEventStream()) {
+      onBrokenStream(TRUNCATED);
+      return;
+    }
     if (forwarding) {
-      logEndOfStream(position.isInsideEvent() ? "inside-event" : "between-events");
+      logEndOfStream("between-events");
       context.replicas().onValidResponse(replica, elapsedMillis());
       exchange.endResponse();
       owner.onResponseForwarded(response.status());
@@ -248,6 +258,11 @@
       owner.onAttemptFailed(SendVerdict.UNKNOWN, "foreign-answer", Optional.empty());
       return;
     }
+    if (isTruncatedEventStream()) {
+      context.replicas().onNoResponse(replica, context.loop().now());
+      owner.onAttemptFailed(SendVerdict.UNKNOWN, TRUNCATED, Optional.empty());
+      return;
+    }
     BufferedResponse buffered =
         new BufferedResponse(response.status(), response.fields(), buffer.toByteArray());
     if (response.isReplicaFailure()) {
@@ -267,11 +282,12 @@
       return;
     }
     markEnded();
-    context.replicas().onNoResponse(replica, context.loop().now());
     if (forwarding) {
-      logEndOfStream(reason);
-      owner.onResponseBroken(reason);
-    } else if (!revoke()) {
+      onBrokenStream(reason);
+      return;
+    }
+    context.replicas().onNoResponse(replica, context.loop().now());
+    if (!revoke()) {
       // Sending had started, so the replica may have run the request.
       owner.onAttemptFailed(SendVerdict.UNKNOWN, reason, Optional.empty());
     } else {
@@ -279,6 +295,28 @@
     }
   }
 
+  private void onBrokenStream(String reason) {
+    context.replicas().onNoResponse(replica, context.loop().now());
+    logEndOfStream(reason);
+    owner.onResponseBroken(reason);
+  }
+
+  /**
+   * Returns whether a response that HTTP takes for complete is a stream of events that broke off.
+   * Where the end of the connection is the only mark of the end, it is not distinct from the end of
+   * a process that crashed, and a stream of no events says nothing.
+   */
+  private boolean isTruncatedEventStream() {
+    boolean noEvents = framing == BodyFraming.UNTIL_CLOSE && position.events() == 0;
+    return isEventStream() && (position.isInsideEvent() || noEvents);
+  }
+
+  private boolean isEventStream() {
+    return mediaType
+        .map(type -> StringUtils.startsWithIgnoreCase(type.stripLeading(), EVENT_STREAM))
+        .orElse(kind == RouteKind.STREAM && response.isSuccess() && framing != BodyFraming.LENGTH);
+  }
+
   private void logEndOfStream(String end) {
     context
         .log()
@@ -291,7 +329,7 @@
             "framing",
             framing,
             "type",
-            mediaType,
+            mediaType.orElse("-"),
             "events",
             position.events(),
             "bytes",
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
@@ -125,6 +125,13 @@
     }
   }
 
+  @Test
+  void truncatedEventStreamOnOtherRouteIsNotForwarded() throws IOException {
+    Instance instance = startReadyInstance();
+    replaceEngine(instance, Script.STREAM_CLOSED_INSIDE_EVENT);
+    assertEquals(502, call(instance, "/n/x", id(), "key").status());
+  }
+
   @Test
   void eventStreamThatEndsWithItsConnectionIsForwarded() throws IOException {
     Instance instance = startReadyInstance();
