--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -258,7 +258,9 @@
             "attempt",
             triedReplicas.size(),
             "left_ms",
-            remainingMillis());
+            remainingMillis(),
+            "parts",
+            isModelEngine() ? request.sharedParts() : List.of());
     attempt =
         UpstreamAttempt.start(
             context,
