--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
-import org.apache.commons.lang3.StringUtils;
+import org.apache.commons.lang3.Strings;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -313,7 +313,7 @@
 
   private boolean isEventStream() {
     return mediaType
-        .map(type -> StringUtils.startsWithIgnoreCase(type.stripLeading(), EVENT_STREAM))
+        .map(type -> Strings.CI.startsWith(type.stripLeading(), EVENT_STREAM))
         .orElse(kind == RouteKind.STREAM && response.isSuccess() && framing != BodyFraming.LENGTH);
   }
 
