Block prompt parts that crash one model engine after the other

Cause: failures were attributed to the replica only. Its cooldown sent the next request with the same content to the next healthy engine. The class of fault: a retry or placement policy that cannot tell a request that fails everywhere from a replica that fails every request.

Fix: the placer, which sees all placements of a service, counts for each shared part the crashes in sequence; a complete response clears a part, a replica that answers or breaks off again has not crashed, and a crash is attributed to one part only. The decision goes to the peers as a message and into the list of instances in the store, from which instances that start later learn it. Requests with a blocked part are rejected before their stages run.

Ruled out while testing: parts that are in every request were blamed together with the part (explained away now, and the last of tied parts is blamed); one replica that resets each connection looked like many crashes.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -198,6 +198,7 @@
    *
    * @param id identifier of the request
    * @param origin instance that serves the request
+   * @param sharedParts identifiers of the prompt parts that the request shares with others
    * @param promptKey hash of the prompt parts that the request shares with others, 0 if none
    * @param sharedTokens number of tokens of the shared parts
    * @param ownTokens number of tokens of the rest of the prompt
@@ -209,6 +210,7 @@
   public record EngineRequest(
       String id,
       String origin,
+      List<String> sharedParts,
       long promptKey,
       long sharedTokens,
       long ownTokens,
@@ -220,6 +222,7 @@
     public EngineRequest {
       Objects.requireNonNull(id, "id");
       Objects.requireNonNull(origin, "origin");
+      sharedParts = List.copyOf(sharedParts);
       Objects.requireNonNull(preferredDataCentre, "preferredDataCentre");
       Objects.requireNonNull(excluded, "excluded");
     }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EnginePlacerTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EnginePlacerTest.java
@@ -45,7 +45,7 @@
 
   private static EnginePlacer.EngineRequest request(String id, long promptKey, long ownTokens) {
     return new EnginePlacer.EngineRequest(
-        id, "e-1", promptKey, 5_000, ownTokens, Optional.empty(), 0, List.of());
+        id, "e-1", List.of(), promptKey, 5_000, ownTokens, Optional.empty(), 0, List.of());
   }
 
   private static String place(EnginePlacer placer, String id, long promptKey, long ownTokens) {
@@ -134,7 +134,7 @@
     for (int i = 0; i < 5; i++) {
       EnginePlacer.EngineRequest request =
           new EnginePlacer.EngineRequest(
-              "q" + i, "e-1", 0, 0, 10, Optional.of(HERE), 4_000_000, List.of());
+              "q" + i, "e-1", List.of(), 0, 0, 10, Optional.of(HERE), 4_000_000, List.of());
       assertEquals(HERE, placer.place(request, 0).orElseThrow().dataCentre());
     }
   }
@@ -147,7 +147,8 @@
     assertNotEquals(first, place(placer, "q1", 7, 10));
     String other = place(placer, "q2", 7, 10);
     EnginePlacer.EngineRequest excluded =
-        new EnginePlacer.EngineRequest("q3", "e-1", 7, 0, 10, Optional.empty(), 0, List.of(other));
+        new EnginePlacer.EngineRequest(
+            "q3", "e-1", List.of(), 7, 0, 10, Optional.empty(), 0, List.of(other));
     assertFalse(
         placer.place(excluded, 0).map(UpstreamReplica::id).filter(other::equals).isPresent());
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.arbutusspar.core.peer.ActiveRoles;
 import org.arbutusspar.core.peer.PeerTable;
+import org.arbutusspar.core.placement.CrashingPartDetector;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -15,7 +16,8 @@
 /**
  * Chooses replicas of model engines for requests. For each service, one instance, the placer,
  * chooses for the requests of all instances, so that it knows the load of each replica. If the
- * placer is unreachable or does not respond in time, this instance chooses instead.
+ * placer is unreachable or does not respond in time, this instance chooses instead. The placer also
+ * finds prompt parts that crash engines, and chooses no replica for a request with a blocked part.
  *
  * <p>Not thread-safe: all methods run on the event loop.
  */
@@ -31,6 +33,8 @@
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
   private final EventLoop loop;
+  private final PromptPartGuard promptParts;
+  private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
   private final Map<String, EnginePlacer> placers = new HashMap<>();
   private final ActiveRoles activeRoles = ActiveRoles.create();
   private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
@@ -39,11 +43,16 @@
   private final Map<String, String> placerOfRequest = new HashMap<>();
 
   EnginePlacement(
-      PeerTable peers, PeerNetwork peerNetwork, ReplicaRegistry replicas, EventLoop loop) {
+      PeerTable peers,
+      PeerNetwork peerNetwork,
+      ReplicaRegistry replicas,
+      EventLoop loop,
+      PromptPartGuard promptParts) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
     this.loop = loop;
+    this.promptParts = promptParts;
   }
 
   /** Returns the names of the placer roles that this instance holds. */
@@ -61,8 +70,9 @@
    *
    * @param service name of the engine's service, not null
    * @param request properties of the request, not null
-   * @param found called with the replica, or with empty if every permitted replica is at capacity;
-   *     called before this method returns if the request is placed here at once
+   * @param found called with the replica, or with empty if every permitted replica is at capacity
+   *     or a prompt part is blocked; called before this method returns if the request is placed
+   *     here at once
    */
   void find(
       String service,
@@ -75,7 +85,7 @@
     if (!sent) {
       activeRoles.markUsed(ROLE_PREFIX + service, loop.now());
       placerOfRequest.put(request.id(), peers.self().name());
-      found.accept(placer(service).place(request, loop.now()));
+      found.accept(place(service, request));
       return;
     }
     placerOfRequest.put(request.id(), placerName);
@@ -88,10 +98,24 @@
   private void placeLocally(PendingRequest pending) {
     if (pendingRequests.remove(pending.request.id(), pending)) {
       placerOfRequest.put(pending.request.id(), peers.self().name());
-      pending.found.accept(placer(pending.service).place(pending.request, loop.now()));
+      pending.found.accept(place(pending.service, pending.request));
     }
   }
 
+  private Optional<UpstreamReplica> place(String service, EnginePlacer.EngineRequest request) {
+    if (promptParts.findBlocked(request.sharedParts()).isPresent()) {
+      return Optional.empty();
+    }
+    Optional<UpstreamReplica> replica = placer(service).place(request, loop.now());
+    replica.ifPresent(
+        r -> detector(service).onPlaced(request.id(), request.sharedParts(), r, loop.now()));
+    return replica;
+  }
+
+  private CrashingPartDetector detector(String service) {
+    return detectors.computeIfAbsent(service, name -> CrashingPartDetector.create());
+  }
+
   private EnginePlacer placer(String service) {
     return placers.computeIfAbsent(
         service,
@@ -125,12 +149,25 @@
 
   /** Applies a state change to the placer of this instance. */
   private void onStateChange(String service, String requestId, PeerMessage.RunState state) {
-    EnginePlacer placer = placer(service);
     if (state == PeerMessage.RunState.BEGUN) {
-      placer.onResponseStarted(requestId);
+      placer(service).onResponseStarted(requestId);
     } else {
-      placer.onEnded(requestId, state == PeerMessage.RunState.ENDED, loop.now());
+      boolean failed =
+          state == PeerMessage.RunState.BROKEN || state == PeerMessage.RunState.CRASHED;
+      placer(service).onEnded(requestId, !failed, loop.now());
     }
+    CrashingPartDetector detector = detector(service);
+    promptParts.onFindings(findings(detector, requestId, state), detector);
+  }
+
+  private CrashingPartDetector.Findings findings(
+      CrashingPartDetector detector, String requestId, PeerMessage.RunState state) {
+    return switch (state) {
+      case BEGUN -> detector.onResponseStarted(requestId, loop.now());
+      case COMPLETED -> detector.onCompleted(requestId, loop.now());
+      case CRASHED -> detector.onBroken(requestId, loop.now());
+      case ENDED, BROKEN -> detector.onEnded(requestId);
+    };
   }
 
   /**
@@ -142,8 +179,7 @@
   void onMessage(String name, PeerMessage message) {
     if (message instanceof PeerMessage.PlaceRequest place) {
       activeRoles.markUsed(ROLE_PREFIX + place.service(), loop.now());
-      Optional<UpstreamReplica> replica =
-          placer(place.service()).place(place.request(), loop.now());
+      Optional<UpstreamReplica> replica = place(place.service(), place.request());
       String replicaId = replica.map(UpstreamReplica::id).orElse("");
       peerNetwork.send(name, new PeerMessage.PlaceResponse(place.request().id(), replicaId));
     } else if (message instanceof PeerMessage.PlaceResponse response) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -102,6 +102,7 @@
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
+  private final PromptPartGuard promptParts;
   private final EnginePlacement engines;
   private final PieceDispatcher pieces;
   private final RequestContext context;
@@ -139,12 +140,26 @@
     peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
     replicas = ReplicaRegistry.create();
-    engines = new EnginePlacement(peers, peerNetwork, replicas, loop);
+    promptParts =
+        PromptPartGuard.create(
+            System::currentTimeMillis,
+            log,
+            PromptPartPublisher.create(peerNetwork, store, loop, log));
+    engines = new EnginePlacement(peers, peerNetwork, replicas, loop, promptParts);
     pieces = new PieceDispatcher(peers, peerNetwork, replicas, client, loop, log);
     pieces.onQueueWaitsChanged(this::scheduleStatusUpdate);
     context =
         RequestContext.create(
-            loop, client, replicas, engines, pieces, peers, settings.bounds(), log, metrics);
+            loop,
+            client,
+            replicas,
+            engines,
+            promptParts,
+            pieces,
+            peers,
+            settings.bounds(),
+            log,
+            metrics);
     clients = new ClientHandler(context);
     tables =
         StoreTables.create(
@@ -230,6 +245,10 @@
         "Requests that may be sent to a service once more now",
         "service",
         () -> snapshot.retriesLeft());
+    metrics.gauge(
+        "arbutusspar_blocked_prompt_parts",
+        "Prompt parts that crashed model engines, whose requests are rejected",
+        () -> snapshot.blockedPromptParts());
     metrics.gauge(
         "arbutusspar_ready",
         "1 if the instance takes requests of clients",
@@ -357,10 +376,14 @@
     onTableRead(changed);
   }
 
-  private void discover(String name, byte[] announcement) {
+  /** Handles a row of the list of instances, which also holds decisions on prompt parts. */
+  private void discover(String name, byte[] value) {
     try {
-      if (PeerCodec.decode(announcement, 0) instanceof PeerMessage.Hello hello) {
+      PeerMessage message = PeerCodec.decode(value, 0);
+      if (message instanceof PeerMessage.Hello hello) {
         peerNetwork.discover(hello.self());
+      } else if (message instanceof PeerMessage.PartVerdict part) {
+        promptParts.learn(part.verdict(), "store");
       }
     } catch (IOException e) {
       log.write("instance-malformed", "key", name, "error", e.getMessage());
@@ -378,7 +401,8 @@
             waits,
             peers.liveCount(loop.now()),
             pieces.waitingPieces(),
-            context.retriesLeft());
+            context.retriesLeft(),
+            promptParts.blockedCount());
   }
 
   /** Updates the own status, and sends it at once if the instance became ready or leaving. */
@@ -510,6 +534,9 @@
   private final class PeerEvents implements PeerNetwork.Listener {
     @Override
     public void onMessage(String name, PeerMessage message) {
+      if (message instanceof PeerMessage.PartVerdict part) {
+        promptParts.learn(part.verdict(), name);
+      }
       tables.onMessage(name, message);
       engines.onMessage(name, message);
       pieces.onMessage(name, message);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
@@ -212,7 +212,12 @@
     sendToAll(new PeerMessage.Heartbeat(table.ownStatus()));
   }
 
-  private void sendToAll(PeerMessage message) {
+  /**
+   * Sends a message to all connected peers.
+   *
+   * @param message the message, not null
+   */
+  void sendToAll(PeerMessage message) {
     network.send(connections.values(), PeerCodec.encode(message, loop.now()));
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -26,6 +26,7 @@
  * @param client sends requests to replicas
  * @param replicas the listed replicas and their load
  * @param engines places requests at replicas of model engines
+ * @param promptParts blocks requests whose prompts crash model engines
  * @param pieces dispatches the pieces of stages to their batchers
  * @param peers this instance and its peers
  * @param bounds time limits and retry budget settings
@@ -40,6 +41,7 @@
     RawClient client,
     ReplicaRegistry replicas,
     EnginePlacement engines,
+    PromptPartGuard promptParts,
     PieceDispatcher pieces,
     PeerTable peers,
     PlatformSettings.Bounds bounds,
@@ -57,6 +59,7 @@
       RawClient client,
       ReplicaRegistry replicas,
       EnginePlacement engines,
+      PromptPartGuard promptParts,
       PieceDispatcher pieces,
       PeerTable peers,
       PlatformSettings.Bounds bounds,
@@ -67,6 +70,7 @@
         client,
         replicas,
         engines,
+        promptParts,
         pieces,
         peers,
         bounds,
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -12,6 +12,7 @@
 import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PlacementRequest;
+import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.placement.RetryRules;
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -158,7 +159,10 @@
             remainingMillis(),
             "stages",
             request.pieceCounts());
-    if (route.stages().isEmpty()) {
+    Optional<PromptPartVerdict> blocked = blockedPart();
+    if (blocked.isPresent()) {
+      failBlocked(blocked.get());
+    } else if (route.stages().isEmpty()) {
       dispatch();
     } else if (exchange.isDisconnected()) {
       onClientDisconnect();
@@ -189,11 +193,23 @@
     fail("stage-" + reason);
   }
 
+  /** Returns the decision that blocks a part of the prompt, if the request needs an engine. */
+  private Optional<PromptPartVerdict> blockedPart() {
+    return isModelEngine()
+        ? context.promptParts().findBlocked(request.sharedParts())
+        : Optional.empty();
+  }
+
   private void dispatch() {
     if (remainingMillis() < MIN_SEND_MILLIS) {
       fail("no-time");
       return;
     }
+    Optional<PromptPartVerdict> blocked = blockedPart();
+    if (blocked.isPresent()) {
+      failBlocked(blocked.get());
+      return;
+    }
     if (isModelEngine()) {
       context.engines().find(service, engineRequest(), this::sendOrFail);
     } else {
@@ -205,6 +221,7 @@
     return new EnginePlacer.EngineRequest(
         request.id(),
         context.peers().self().name(),
+        request.sharedParts(),
         request.promptKey(),
         request.sharedTokens(),
         request.ownTokens(),
@@ -302,12 +319,13 @@
 
   @Override
   public void onResponseForwarded(int status) {
+    context.engines().report(service, request.id(), PeerMessage.RunState.COMPLETED);
     end("answered", "status-" + status);
   }
 
   @Override
   public void onResponseBroken(String reason) {
-    context.engines().report(service, request.id(), PeerMessage.RunState.BROKEN);
+    context.engines().report(service, request.id(), PeerMessage.RunState.CRASHED);
     exchange.abort(reason);
     end("broken", reason);
   }
@@ -318,15 +336,7 @@
     if (ended) {
       return;
     }
-    // A replica that rejected the request or reported a failure did respond, so the placer does not
-    // count this end as a failure of the replica.
-    boolean noResponse = verdict == SendVerdict.UNKNOWN || verdict.didNotReachReplica();
-    context
-        .engines()
-        .report(
-            service,
-            request.id(),
-            noResponse ? PeerMessage.RunState.BROKEN : PeerMessage.RunState.ENDED);
+    context.engines().report(service, request.id(), runStateAfter(verdict));
     mayHaveRun |= verdict == SendVerdict.FAILED || verdict == SendVerdict.UNKNOWN;
     boolean retry =
         RetryRules.mayRetry(route, verdict, sentAttempts)
@@ -356,6 +366,17 @@
     }
   }
 
+  /**
+   * Returns the state to report to the placer. A replica that rejected the request or reported a
+   * failure did respond, so the placer does not count this end as a failure of the replica.
+   */
+  private static PeerMessage.RunState runStateAfter(SendVerdict verdict) {
+    if (verdict == SendVerdict.UNKNOWN) {
+      return PeerMessage.RunState.CRASHED;
+    }
+    return verdict.didNotReachReplica() ? PeerMessage.RunState.BROKEN : PeerMessage.RunState.ENDED;
+  }
+
   private boolean hasUntriedReplica() {
     return context.replicas().notLeaving(service).stream()
         .anyMatch(replica -> !triedReplicas.contains(replica.id()));
@@ -399,10 +420,21 @@
     respondAndEnd(mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason);
   }
 
+  /** Ends a request with a blocked part; the client may return when the block ends. */
+  private void failBlocked(PromptPartVerdict verdict) {
+    double seconds = context.promptParts().remainingMillis(verdict) / MILLIS_PER_SECOND;
+    respondAndEnd(
+        mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, "crashing-part", formatSeconds(seconds));
+  }
+
   private void respondAndEnd(int status, String reason) {
+    respondAndEnd(status, reason, retryAfter());
+  }
+
+  private void respondAndEnd(int status, String reason, String retryAfter) {
     List<HeaderField> fields = new ArrayList<>();
     if (status == SERVICE_UNAVAILABLE) {
-      fields.add(new HeaderField("Retry-After", retryAfter()));
+      fields.add(new HeaderField("Retry-After", retryAfter));
     }
     exchange.respond(status, fields, ByteBuffer.allocate(0));
     end(status == SERVICE_UNAVAILABLE ? "refused" : "failed", reason);
@@ -418,6 +450,10 @@
     double fraction = (Rendezvous.hash(request.id()) >>> 11) * 0x1.0p-53;
     double seconds =
         maxSeconds * (MIN_RETRY_AFTER_FRACTION + (1 - MIN_RETRY_AFTER_FRACTION) * fraction);
+    return formatSeconds(seconds);
+  }
+
+  private static String formatSeconds(double seconds) {
     return String.format(Locale.ROOT, "%.3f", seconds);
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
@@ -15,6 +15,7 @@
  * @param waitingPieces number of pieces queued at this instance, of the requests of all instances
  * @param retriesLeft number of retries that the retry budget permits now, by name of each service
  *     that has received requests
+ * @param blockedPromptParts number of prompt parts whose requests are rejected
  */
 record StateSnapshot(
     long configurationVersion,
@@ -22,10 +23,11 @@
     Map<String, Integer> queueWaitMillis,
     int liveInstances,
     int waitingPieces,
-    Map<String, Integer> retriesLeft) {
+    Map<String, Integer> retriesLeft,
+    int blockedPromptParts) {
 
   /** State of an instance that has read nothing from the store and knows no peer. */
-  static final StateSnapshot NONE = new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of());
+  static final StateSnapshot NONE = new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0);
 
   /** Copies the maps. */
   StateSnapshot {
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingPromptPartTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingPromptPartTest.java
@@ -39,6 +39,22 @@
   private final AtomicInteger started = new AtomicInteger();
   private final AtomicInteger sent = new AtomicInteger();
 
+  /** Replaces the engine that does not crash by several that do. */
+  private void replaceEngine() {
+    for (int i = 0; i < ENGINES; i++) {
+      startEngine();
+    }
+    store.putReplica("i-1", "");
+  }
+
+  private boolean isServedByCrashingEngine(Instance instance) {
+    return sendPrompt(instance, "good")
+        .handle(
+            (reply, failure) ->
+                failure == null && reply.field("X-Response-Signature").orElse("").startsWith("c-"))
+        .join();
+  }
+
   private void startEngine() {
     try {
       String id = "c-" + started.incrementAndGet();
@@ -60,6 +76,24 @@
     startEngine();
   }
 
+  /** All instances forgot the part in a restart, and more engines crashed. */
+  @Test
+  void blockedPartStaysBlockedAfterAllInstancesRestart() throws IOException {
+    Instance first = startReadyInstance();
+    replaceEngine();
+    await(() -> isServedByCrashingEngine(first));
+    await(() -> isBlocked(first), 20_000);
+    first.gateway().close();
+    final int crashes = crashTimes.size();
+    Instance second = startInstance("e-2", SECOND_ADDRESS, List.of());
+    await(() -> isReady(second));
+    await(() -> isServedByCrashingEngine(second));
+    for (int i = 0; i < 5; i++) {
+      assertTrue(isBlocked(second));
+    }
+    assertEquals(crashes, crashTimes.size());
+  }
+
   /** Sends a request whose prompt has the first part in common with all others. */
   private CompletableFuture<RawReply> sendPrompt(Instance instance, String part) {
     int number = sent.incrementAndGet();
@@ -73,17 +107,25 @@
     return reply.handle((r, failure) -> failure == null ? r.status() : 0).join();
   }
 
+  /** Returns whether an instance rejects a request with the part until the end of a block. */
+  private boolean isBlocked(Instance instance) {
+    return sendPrompt(instance, CRASHING_PART)
+        .handle(
+            (reply, failure) ->
+                failure == null
+                    && reply.status() == 503
+                    && Double.parseDouble(reply.field("Retry-After").orElseThrow()) > 60)
+        .join();
+  }
+
   /** Requests with one prompt part crashed engine after engine, since only engines were judged. */
   @Test
   void promptPartThatCrashesEnginesIsNotSentOn() throws IOException {
     Instance first = startReadyInstance();
     final List<Instance> instances =
         List.of(first, startInstance("e-2", SECOND_ADDRESS, List.of(first.settings().links())));
-    for (int i = 0; i < ENGINES; i++) {
-      startEngine();
-    }
-    store.putReplica("i-1", "");
-    await(() -> instances.stream().allMatch(i -> status(sendPrompt(i, "good")) == 200));
+    replaceEngine();
+    await(() -> instances.stream().allMatch(this::isServedByCrashingEngine));
     long end = Long.MAX_VALUE;
     List<CompletableFuture<RawReply>> replies = new ArrayList<>();
     for (int i = 0; i < 400 && System.nanoTime() < end; i++) {
@@ -104,9 +146,7 @@
                 .filter(t -> t - crashTimes.get(CRASHES_TO_DETECT - 1) > REACTION_NANOS)
                 .count();
     assertTrue(late <= MAX_LATE_REQUESTS, late + " of " + crashTimes.size() + " crashes were late");
-    await(() -> instances.stream().allMatch(i -> status(sendPrompt(i, "good")) == 200));
-    for (Instance instance : instances) {
-      assertEquals(503, status(sendPrompt(instance, CRASHING_PART)));
-    }
+    await(() -> instances.stream().allMatch(this::isServedByCrashingEngine));
+    instances.forEach(instance -> assertTrue(isBlocked(instance)));
   }
 }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -17,6 +17,7 @@
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -48,6 +49,7 @@
   private static final int PLACE_RESPONSE = 10;
   private static final int PLACEMENT_UPDATE = 11;
   private static final int STATES = 12;
+  private static final int PART_VERDICT = 13;
 
   /** Maximum number of entries of an encoded list or map. */
   private static final int MAX_ITEMS = 100_000;
@@ -106,6 +108,10 @@
       } else if (message instanceof PeerMessage.PlacementUpdate update) {
         packer.packInt(PLACEMENT_UPDATE).packString(update.service());
         packer.packString(update.requestId()).packInt(update.state().ordinal());
+      } else if (message instanceof PeerMessage.PartVerdict part) {
+        packer.packInt(PART_VERDICT).packString(part.verdict().part());
+        packer.packLong(part.verdict().decidedMillis());
+        packer.packLong(part.verdict().blockedUntilMillis());
       } else if (message instanceof PeerMessage.TableRequest request) {
         packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
         packer.packLong(request.since());
@@ -148,6 +154,10 @@
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 enumConstant(PeerMessage.RunState.values(), unpacker));
+        case PART_VERDICT ->
+            new PeerMessage.PartVerdict(
+                new PromptPartVerdict(
+                    unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong()));
         case TABLE_REQUEST ->
             new PeerMessage.TableRequest(
                 enumConstant(TableName.values(), unpacker), unpacker.unpackLong());
@@ -358,19 +368,32 @@
     packer.packString(request.preferredDataCentre().map(DataCentre::value).orElse(""));
     packer.packLong(request.inputBytes());
     packStrings(packer, List.copyOf(request.excluded()));
+    packStrings(packer, request.sharedParts());
   }
 
   private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker)
       throws IOException {
+    String id = unpacker.unpackString();
+    String origin = unpacker.unpackString();
+    long promptKey = unpacker.unpackLong();
+    long sharedTokens = unpacker.unpackLong();
+    long ownTokens = unpacker.unpackLong();
+    Optional<DataCentre> preferred = optionalDataCentre(unpacker.unpackString());
+    long inputBytes = unpacker.unpackLong();
+    List<String> excluded = list(unpacker, MessageUnpacker::unpackString);
+    // Instances of the version before do not send the parts.
+    List<String> sharedParts =
+        unpacker.hasNext() ? list(unpacker, MessageUnpacker::unpackString) : List.of();
     return new EnginePlacer.EngineRequest(
-        unpacker.unpackString(),
-        unpacker.unpackString(),
-        unpacker.unpackLong(),
-        unpacker.unpackLong(),
-        unpacker.unpackLong(),
-        optionalDataCentre(unpacker.unpackString()),
-        unpacker.unpackLong(),
-        list(unpacker, MessageUnpacker::unpackString));
+        id,
+        origin,
+        sharedParts,
+        promptKey,
+        sharedTokens,
+        ownTokens,
+        preferred,
+        inputBytes,
+        excluded);
   }
 
   private static TableCopy.Row row(MessageUnpacker unpacker) throws IOException {
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.arbutusspar.core.peer.TableCopy;
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceOutcome;
 
@@ -108,13 +109,24 @@
    */
   record PlacementUpdate(String service, String requestId, RunState state) implements PeerMessage {}
 
+  /**
+   * Passes on a decision on a prompt part. Also the form in which the decision is stored.
+   *
+   * @param verdict the decision
+   */
+  record PartVerdict(PromptPartVerdict verdict) implements PeerMessage {}
+
   /** State of a placed request. Sent as its ordinal. */
   enum RunState {
     /** The replica has started to send its response. */
     BEGUN,
-    /** The request has ended, and the replica responded. */
+    /** The request has ended otherwise; its replica has not failed. */
     ENDED,
-    /** The request has ended without a response of the replica. */
-    BROKEN
+    /** The request did not reach the replica. */
+    BROKEN,
+    /** The response of the replica is complete. */
+    COMPLETED,
+    /** The connection to the replica broke after the request was sent. */
+    CRASHED
   }
 }
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -21,6 +21,8 @@
 import org.arbutusspar.core.peer.TableCopy;
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.peer.TableVersion;
+import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -60,6 +62,12 @@
 
   @Test
   void everyMessageSurvivesRoundTrip() throws IOException {
+    assertRoundTrip(new PeerMessage.PartVerdict(new PromptPartVerdict("ab12", 17, 600_017)));
+    assertRoundTrip(
+        new PeerMessage.PlaceRequest(
+            "s",
+            new EnginePlacer.EngineRequest(
+                "id", "e-1", List.of("p"), 3, 4, 5, Optional.empty(), 6, List.of("r"))));
     assertRoundTrip(new PeerMessage.Hello(PEER, List.of(PEER)));
     assertRoundTrip(
         new PeerMessage.Heartbeat(
