Observe shutdowns and pauses that replicas announce in their responses

Server-Leaving in any response: nothing of what clients send later than drain_ms after it may reach that replica. 503 with Retry-After: the replica wants nothing from this instance for so long. Neither field was read so far; a leaving replica was known from the list only, and a rejected request led to no pause.

ReplicaSignals decodes both from requests, calls for pieces, releases and reports; ReplicaAvailability keeps them by incarnation, so that a successor under the same identifier is used and an older list entry does not revoke them. The sender decides last: replicas that leave or pause are excluded where another instance places, and checked again before the send. Releases wait for the end of a pause. A request is rejected at once if all of its replicas pause until after its deadline.

Not done: after a pause the replica gets work at the full rate, not in small steps.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
@@ -100,8 +100,7 @@
    */
   public void onPlaced(String requestId, List<String> parts, UpstreamReplica replica, long now) {
     if (!parts.isEmpty()) {
-      String incarnation = replica.id() + "@" + replica.startedMillis();
-      requests.put(requestId, new PlacedRequest(List.copyOf(parts), incarnation, now));
+      requests.put(requestId, new PlacedRequest(List.copyOf(parts), replica.incarnation(), now));
     }
   }
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
@@ -34,6 +35,8 @@
   private Map<String, UpstreamReplica> byId = Map.of();
   private Map<Endpoint, UpstreamReplica> byEndpoint = Map.of();
   private final Map<String, ReplicaLoad> loads = new HashMap<>();
+  private final ReplicaAvailability availability = ReplicaAvailability.create();
+  private Collection<UpstreamReplica> lastListed = List.of();
 
   private ReplicaRegistry() {}
 
@@ -49,6 +52,14 @@
    * @param listed all replicas, including those that are leaving, not null
    */
   public void replace(Collection<UpstreamReplica> listed) {
+    lastListed = List.copyOf(listed);
+    index(
+        listed.stream()
+            .map(replica -> availability.isLeaving(replica) ? replica.asLeaving() : replica)
+            .toList());
+  }
+
+  private void index(Collection<UpstreamReplica> listed) {
     Map<String, List<UpstreamReplica>> grouped = new LinkedHashMap<>();
     Map<String, UpstreamReplica> ids = new LinkedHashMap<>();
     Map<String, ReplicaLoad> knownLoads = new HashMap<>();
@@ -75,9 +86,14 @@
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns the listed replica at an endpoint, or empty if there is none. */
+  public Optional<UpstreamReplica> findAt(Endpoint endpoint) {
+    return Optional.ofNullable(byEndpoint.get(endpoint));
+  }
+
   /** Returns the data centre of the listed replica at an endpoint, or empty if there is none. */
   public Optional<DataCentre> dataCentre(Endpoint endpoint) {
-    return Optional.ofNullable(byEndpoint.get(endpoint)).map(UpstreamReplica::dataCentre);
+    return findAt(endpoint).map(UpstreamReplica::dataCentre);
   }
 
   /**
@@ -108,6 +124,83 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /**
+   * Records that a replica has announced its shutdown in a response.
+   *
+   * @param replica the replica, not null
+   * @return whether this was not known
+   */
+  public boolean onLeaving(UpstreamReplica replica) {
+    boolean changed = availability.onLeaving(replica);
+    if (changed) {
+      replace(lastListed);
+    }
+    return changed;
+  }
+
+  /**
+   * Records that a replica wants no requests for some time.
+   *
+   * @param replica the replica, not null
+   * @param millis the time in milliseconds
+   * @param now current monotonic time, in nanoseconds
+   */
+  public void onBackoff(UpstreamReplica replica, long millis, long now) {
+    availability.onBackoff(replica, millis, now);
+  }
+
+  /**
+   * Returns whether a replica may be sent anything.
+   *
+   * @param replica the replica, not null
+   * @param now current monotonic time, in nanoseconds
+   * @return false if it has asked for a pause that has not ended
+   */
+  public boolean isBackingOff(UpstreamReplica replica, long now) {
+    return availability.isBackingOff(replica, now);
+  }
+
+  /**
+   * Returns whether a replica may be sent a new request.
+   *
+   * @param replica the replica, not null
+   * @param now current monotonic time, in nanoseconds
+   * @return false if it has announced its shutdown in a response, or asked for a pause that has not
+   *     ended
+   */
+  public boolean mayReceive(UpstreamReplica replica, long now) {
+    return !availability.isLeaving(replica) && !availability.isBackingOff(replica, now);
+  }
+
+  /**
+   * Returns the identifiers of the listed replicas of a service that may not be sent new requests,
+   * except those that leave by the list only.
+   *
+   * @param service name of the service, not null
+   * @param now current monotonic time, in nanoseconds
+   * @return the identifiers
+   */
+  public Set<String> unavailable(String service, long now) {
+    Set<String> ids = new HashSet<>();
+    for (UpstreamReplica replica : byId.values()) {
+      if (replica.service().equals(service) && !mayReceive(replica, now)) {
+        ids.add(replica.id());
+      }
+    }
+    return ids;
+  }
+
+  /**
+   * Returns the time until a replica of a service may be sent requests again.
+   *
+   * @param service name of the service, not null
+   * @param now current monotonic time, in nanoseconds
+   * @return the time in nanoseconds, 0 if one may be sent requests now; empty if none is listed
+   */
+  public OptionalLong nanosUntilAvailable(String service, long now) {
+    return availability.nanosUntilAvailable(notLeaving(service), now);
+  }
+
   /**
    * Chooses a replica for a request from those with free capacity.
    *
@@ -120,6 +213,7 @@
     List<UpstreamReplica> listed =
         notLeaving(request.service()).stream()
             .filter(replica -> !request.excluded().contains(replica.id()))
+            .filter(replica -> !availability.isBackingOff(replica, now))
             .toList();
     List<UpstreamReplica> healthy =
         listed.stream().filter(replica -> !load(replica).isCoolingDown(now)).toList();
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/UpstreamReplica.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/UpstreamReplica.java
@@ -7,7 +7,7 @@
 /**
  * An upstream replica as listed by the platform. Immutable.
  *
- * @param id identifier of one incarnation of the replica; a restarted replica has another
+ * @param id identifier of one incarnation of the replica; a restarted replica mostly has another
  * @param service name of the service that it belongs to
  * @param endpoint address and port at which it listens
  * @param dataCentre data centre in which it runs
@@ -31,4 +31,14 @@
     Objects.requireNonNull(endpoint, "endpoint");
     Objects.requireNonNull(dataCentre, "dataCentre");
   }
+
+  /** Returns a name of this incarnation, also if a restarted replica has kept its identifier. */
+  public String incarnation() {
+    return id + "@" + startedMillis;
+  }
+
+  /** Returns this replica as one that has announced its shutdown. */
+  public UpstreamReplica asLeaving() {
+    return new UpstreamReplica(id, service, endpoint, dataCentre, slots, true, startedMillis);
+  }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceBatcher.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceBatcher.java
@@ -145,6 +145,20 @@
     workers.values().removeIf(worker -> !worker.isListed() && worker.isIdle());
   }
 
+  /**
+   * Prevents calls to a replica for the time that it has asked for.
+   *
+   * @param replicaId identifier of the replica, not null
+   * @param millis the time in milliseconds
+   * @param now current monotonic time, in nanoseconds
+   */
+  public void backOff(String replicaId, long millis, long now) {
+    StageWorker worker = workers.get(replicaId);
+    if (worker != null) {
+      worker.backOff(millis, now);
+    }
+  }
+
   /** Queues a piece. A queued piece with the same identifier is replaced. */
   public void submit(Piece piece) {
     cancelledInCall.remove(piece.id());
@@ -270,7 +284,8 @@
     List<StageWorker> freeWorkers =
         workers.values().stream()
             .filter(
-                worker -> worker.hasFreeSlot(limits.slots(), now) && !shouldWaitForFaster(worker))
+                worker ->
+                    worker.hasFreeSlot(limits.slots(), now) && !shouldWaitForFaster(worker, now))
             .sorted(Comparator.comparingDouble((StageWorker worker) -> worker.timeRatio()))
             .toList();
     List<List<Piece>> groups = freeWorkers.isEmpty() ? List.of() : groups(now);
@@ -284,13 +299,13 @@
   }
 
   /** Returns whether a replica is slow and the faster ones can take the queue in one call each. */
-  private boolean shouldWaitForFaster(StageWorker worker) {
-    List<StageWorker> listedWorkers =
-        workers.values().stream().filter(StageWorker::isListed).toList();
+  private boolean shouldWaitForFaster(StageWorker worker, long now) {
+    List<StageWorker> callableWorkers =
+        workers.values().stream().filter(w -> w.isCallable(now)).toList();
     double minTimeRatio =
-        listedWorkers.stream().mapToDouble(StageWorker::timeRatio).min().orElse(1);
+        callableWorkers.stream().mapToDouble(StageWorker::timeRatio).min().orElse(1);
     long fasterReplicas =
-        listedWorkers.stream()
+        callableWorkers.stream()
             .filter(w -> w.timeRatio() <= SLOW_REPLICA_FACTOR * minTimeRatio)
             .count();
     return worker.timeRatio() > SLOW_REPLICA_FACTOR * minTimeRatio
@@ -386,7 +401,7 @@
     return urgent
         || fillsCall
         || workers.values().stream()
-            .noneMatch(w -> w.isListed() && isInPreferredDataCentre(piece, w));
+            .noneMatch(w -> w.isCallable(now) && isInPreferredDataCentre(piece, w));
   }
 
   private PieceCall startCall(StageWorker worker, List<Piece> pieces, long now) {
@@ -580,7 +595,7 @@
     }
     double perSecond =
         workers.values().stream()
-            .filter(StageWorker::isListed)
+            .filter(worker -> worker.isCallable(now))
             .mapToDouble(
                 worker ->
                     limits.slots() * meanCallSize / callSeconds(meanCallSize) / worker.timeRatio())
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageWorker.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageWorker.java
@@ -41,6 +41,7 @@
   private long unaccountedBytes;
   private long unaccountedUntil = Long.MIN_VALUE / 2;
   private double timeRatio = 1;
+  private long backoffUntil = Long.MIN_VALUE / 2;
 
   StageWorker(UpstreamReplica replica) {
     this.replica = replica;
@@ -70,7 +71,18 @@
   }
 
   boolean hasFreeSlot(int slots, long now) {
-    return listed && callsInProgress < slots && !cooldown.isCoolingDown(now);
+    return isCallable(now) && callsInProgress < slots && !cooldown.isCoolingDown(now);
+  }
+
+  /** Returns whether the replica is listed and has not asked for a pause that has not ended. */
+  boolean isCallable(long now) {
+    return listed && now - backoffUntil >= 0;
+  }
+
+  /** Prevents calls for the time that the replica has asked for. */
+  void backOff(long millis, long now) {
+    long until = now + Nanos.ofMillis(millis);
+    backoffUntil = until - backoffUntil > 0 ? until : backoffUntil;
   }
 
   /** Returns the smoothed ratio of the measured to the configured time of a call. */
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceBatcherTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/PieceBatcherTest.java
@@ -312,6 +312,32 @@
     assertEquals("r0", batcher.nextCalls(now).get(0).replica().id());
   }
 
+  /** Pieces waited for a fast replica until their deadline, although it wanted no requests. */
+  @Test
+  void slowReplicaGetsCallsWhileTheFasterOneBacksOff() {
+    PieceBatcher batcher = batcher(4, AMPLE_MEMORY_BYTES, 2);
+    long now = 0;
+    for (int i = 0; i < 20; i++) {
+      submit(batcher, "a" + i, 4);
+      submit(batcher, "b" + i, 4);
+      for (PieceCall call : batcher.nextCalls(now)) {
+        boolean slow = call.replica().id().equals("r0");
+        long took = slow ? 5 * call.expectedNanos() : call.expectedNanos();
+        batcher.complete(call.number(), allComputed(call), "self", now + took);
+      }
+      batcher.cancel("a" + i);
+      batcher.cancel("b" + i);
+      now += millis(20_000);
+    }
+    batcher.backOff("r1", 5_000, now);
+    submit(batcher, "c", 4);
+    assertEquals("r0", batcher.nextCalls(now).get(0).replica().id());
+    submit(batcher, "d", 4);
+    assertTrue(batcher.nextCalls(now + millis(4_900)).isEmpty());
+    assertTrue(batcher.queueWait(now).millis(true) > 0);
+    assertEquals("r1", batcher.nextCalls(now + millis(5_000)).get(0).replica().id());
+  }
+
   @Test
   void removedReplicasGetNoCalls() {
     PieceBatcher batcher = batcher(8, AMPLE_MEMORY_BYTES, 1);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -102,6 +102,7 @@
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
+  private final ReplicaAnnouncements announcements;
   private final PromptPartGuard promptParts;
   private final EnginePlacement engines;
   private final PieceDispatcher pieces;
@@ -140,19 +141,22 @@
     peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
     replicas = ReplicaRegistry.create();
+    announcements = ReplicaAnnouncements.create(replicas, loop, log);
+    announcements.onReplicasChanged(this::onAvailableReplicasChanged);
     promptParts =
         PromptPartGuard.create(
             System::currentTimeMillis,
             log,
             PromptPartPublisher.create(peerNetwork, store, loop, log));
     engines = new EnginePlacement(peers, peerNetwork, replicas, loop, promptParts);
-    pieces = new PieceDispatcher(peers, peerNetwork, replicas, client, loop, log);
+    pieces = new PieceDispatcher(peers, peerNetwork, replicas, announcements, client, loop, log);
     pieces.onQueueWaitsChanged(this::scheduleStatusUpdate);
     context =
         RequestContext.create(
             loop,
             client,
             replicas,
+            announcements,
             engines,
             promptParts,
             pieces,
@@ -333,12 +337,16 @@
           .forEach((id, value) -> ReplicaReader.read(id, value).ifPresent(newReplicas::add));
       logReplicaChanges(newReplicas);
       replicas.replace(newReplicas);
-      engines.onReplicas();
-      pieces.onReplicas();
+      onAvailableReplicasChanged();
     }
     onTableRead(changed);
   }
 
+  private void onAvailableReplicasChanged() {
+    engines.onReplicas();
+    pieces.onReplicas();
+  }
+
   private void logReplicaChanges(Collection<UpstreamReplica> newReplicas) {
     for (UpstreamReplica replica : newReplicas) {
       Optional<UpstreamReplica> previous = replicas.find(replica.id());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
@@ -31,6 +31,7 @@
 import org.arbutusspar.io.http.RawReply;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.PieceCalls;
+import org.arbutusspar.platform.ReplicaSignals;
 
 /**
  * Dispatches pieces, the units of work of the stages of requests, to worker replicas.
@@ -53,6 +54,12 @@
   /** Maximum delay of a release, in milliseconds, so that one call can release many results. */
   private static final long RELEASE_DELAY_MILLIS = 60;
 
+  /**
+   * Interval at which releases to a replica that wants no requests are tried again, in
+   * milliseconds.
+   */
+  private static final long BACKOFF_CHECK_INTERVAL_MILLIS = 500;
+
   /** Interval of queue checks while pieces are queued here, in milliseconds. */
   private static final long QUEUE_CHECK_INTERVAL_MILLIS = 100;
 
@@ -71,6 +78,7 @@
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
+  private final ReplicaAnnouncements announcements;
   private final RawClient client;
   private final EventLoop loop;
   private final EventLog log;
@@ -102,12 +110,14 @@
       PeerTable peers,
       PeerNetwork peerNetwork,
       ReplicaRegistry replicas,
+      ReplicaAnnouncements announcements,
       RawClient client,
       EventLoop loop,
       EventLog log) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
+    this.announcements = announcements;
     this.client = client;
     this.loop = loop;
     this.log = log;
@@ -231,15 +241,24 @@
 
   private void sendReleases() {
     releaseScheduled = false;
-    for (PieceCalls.ReleaseCall release : PieceCalls.releaseCalls(handlesToRelease)) {
+    List<PieceCalls.ReleaseCall> releases = PieceCalls.releaseCalls(handlesToRelease);
+    handlesToRelease.clear();
+    for (PieceCalls.ReleaseCall release : releases) {
+      Optional<UpstreamReplica> replica = replicas.findAt(release.call().endpoint());
+      if (replica.filter(r -> replicas.isBackingOff(r, loop.now())).isPresent()) {
+        loop.after(BACKOFF_CHECK_INTERVAL_MILLIS, () -> scheduleRelease(release.handles()));
+        continue;
+      }
       client
           .fetch("release", release.call())
-          .whenComplete((reply, failure) -> loop.post(() -> onReleased(release, failure)));
+          .whenComplete((reply, failure) -> loop.post(() -> onReleased(release, reply, failure)));
     }
-    handlesToRelease.clear();
   }
 
-  private void onReleased(PieceCalls.ReleaseCall release, Throwable failure) {
+  private void onReleased(PieceCalls.ReleaseCall release, RawReply reply, Throwable failure) {
+    replicas
+        .findAt(release.call().endpoint())
+        .ifPresent(replica -> applyAnnouncements(replica, reply));
     if (failure != null) {
       log.write(
           "release-failed",
@@ -257,6 +276,21 @@
     }
   }
 
+  /** Applies what a replica announces in a response, null if there is none. */
+  private void applyAnnouncements(UpstreamReplica replica, RawReply reply) {
+    if (reply == null) {
+      return;
+    }
+    ReplicaSignals signals = ReplicaSignals.read(reply.status(), reply.fields());
+    PieceBatcher batcher = batchers.get(replica.service());
+    if (batcher != null) {
+      signals
+          .backoffMillis()
+          .ifPresent(millis -> batcher.backOff(replica.id(), millis, loop.now()));
+    }
+    announcements.apply(replica, signals);
+  }
+
   /** Returns the expected queue wait of a new piece, by name of each service batched here. */
   Map<String, QueueWait> queueWaits() {
     Map<String, QueueWait> queueWaits = new HashMap<>();
@@ -411,6 +445,9 @@
 
   private void queryMemory(PieceBatcher batcher) {
     for (UpstreamReplica replica : replicas.notLeaving(batcher.service())) {
+      if (replicas.isBackingOff(replica, loop.now())) {
+        continue;
+      }
       client
           .fetch("report", PieceCalls.memoryQuery(replica.endpoint()))
           .whenComplete(
@@ -419,6 +456,7 @@
   }
 
   private void onMemoryReport(PieceBatcher batcher, UpstreamReplica replica, RawReply reply) {
+    applyAnnouncements(replica, reply);
     OptionalLong free = reply == null ? OptionalLong.empty() : PieceCalls.freeBytes(reply);
     log.write(
         "room",
@@ -532,6 +570,7 @@
           "error",
           failure == null ? "status " + reply.status() : failure.getMessage());
     }
+    applyAnnouncements(call.replica(), reply);
     reportOutcomes(call.pieces(), completion.outcomes());
     if (!completion.toRelease().isEmpty()) {
       release(completion.toRelease());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -25,6 +25,7 @@
  * @param loop event loop on which requests are decided
  * @param client sends requests to replicas
  * @param replicas the listed replicas and their load
+ * @param announcements applies what replicas announce about themselves
  * @param engines places requests at replicas of model engines
  * @param promptParts blocks requests whose prompts crash model engines
  * @param pieces dispatches the pieces of stages to their batchers
@@ -40,6 +41,7 @@
     EventLoop loop,
     RawClient client,
     ReplicaRegistry replicas,
+    ReplicaAnnouncements announcements,
     EnginePlacement engines,
     PromptPartGuard promptParts,
     PieceDispatcher pieces,
@@ -58,6 +60,7 @@
       EventLoop loop,
       RawClient client,
       ReplicaRegistry replicas,
+      ReplicaAnnouncements announcements,
       EnginePlacement engines,
       PromptPartGuard promptParts,
       PieceDispatcher pieces,
@@ -69,6 +72,7 @@
         loop,
         client,
         replicas,
+        announcements,
         engines,
         promptParts,
         pieces,
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Rendezvous;
@@ -162,6 +163,8 @@
     Optional<PromptPartVerdict> blocked = blockedPart();
     if (blocked.isPresent()) {
       failBlocked(blocked.get());
+    } else if (isBackoffPastDeadline()) {
+      fail("backoff");
     } else if (route.stages().isEmpty()) {
       dispatch();
     } else if (exchange.isDisconnected()) {
@@ -227,7 +230,21 @@
         request.ownTokens(),
         context.dataCentreOf(stageResults),
         stageResults.stream().mapToLong(StageResult::bytes).sum(),
-        triedReplicas);
+        excludedReplicas());
+  }
+
+  /** Returns the replicas that this instance must not send the request to. */
+  private Set<String> excludedReplicas() {
+    Set<String> excluded = new HashSet<>(triedReplicas);
+    excluded.addAll(context.replicas().unavailable(service, context.loop().now()));
+    return excluded;
+  }
+
+  /** Returns whether all replicas want no requests until after the deadline. */
+  private boolean isBackoffPastDeadline() {
+    long now = context.loop().now();
+    OptionalLong wait = context.replicas().nanosUntilAvailable(service, now);
+    return wait.isPresent() && now + wait.getAsLong() - deadline > 0;
   }
 
   private void sendOrFail(Optional<UpstreamReplica> replica) {
@@ -239,6 +256,9 @@
       context.engines().report(service, request.id(), PeerMessage.RunState.ENDED);
     } else if (replica.isEmpty()) {
       fail("no-replica");
+    } else if (!context.replicas().mayReceive(replica.get(), context.loop().now())) {
+      // The replica was chosen elsewhere before its announcement was known there.
+      dispatch();
     } else {
       send(replica.get());
     }
@@ -379,7 +399,10 @@
 
   private boolean hasUntriedReplica() {
     return context.replicas().notLeaving(service).stream()
-        .anyMatch(replica -> !triedReplicas.contains(replica.id()));
+        .anyMatch(
+            replica ->
+                !triedReplicas.contains(replica.id())
+                    && context.replicas().mayReceive(replica, context.loop().now()));
   }
 
   private void onDeadline() {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -18,6 +18,7 @@
 import org.arbutusspar.io.http.RawListener;
 import org.arbutusspar.io.http.RawReply;
 import org.arbutusspar.platform.ClientRequest;
+import org.arbutusspar.platform.ReplicaSignals;
 import org.arbutusspar.platform.UpstreamResponse;
 
 /**
@@ -173,6 +174,9 @@
     if (streamed && !cancelled && exchange.startResponse(header.status(), header.fields())) {
       forwarding = true;
     }
+    if (!header.signals().equals(ReplicaSignals.NONE)) {
+      context.loop().post(() -> context.announcements().apply(replica, header.signals()));
+    }
     long now = context.loop().now();
     header
         .runningAndWaiting()
