Follow a store that returns from a copy

A position is now (era, offset) in one number, so that tables, heartbeats and copies between peers compare it without further changes; an older era loses. Rows of the copy replace only rows that are not newer: a configuration by its version, a replica by its incarnation and state, an announcement by its incarnation. A removed replica is used only once it writes again. Instances write a lost announcement or decision again, each at its own moment.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
@@ -9,7 +9,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiPredicate;
 import org.apache.commons.lang3.Validate;
 
 /**
@@ -21,14 +20,18 @@
  * to date, and needs only the rows that changed since.
  *
  * <p>A table never steps back: a record or a copy at a lower offset than the table's has no effect.
- * Not thread-safe.
+ * If the store returns from a copy, its rows are those of an earlier time. A row of it replaces
+ * that of the table only if it is not older. A removed key whose writer repeats its row stays
+ * removed until the row is appended again.
+ *
+ * <p>Offsets are {@link StorePosition}s. Not thread-safe.
  */
 public final class SharedTable {
 
   /** Maximum number of removed keys that are remembered for copies. */
   private static final int MAX_REMOVALS = 1_024;
 
-  private final BiPredicate<byte[], byte[]> sameContent;
+  private final RowRules rules;
   private final Map<String, Row> rows = new HashMap<>();
 
   /** Offset of the record that removed a key, by key, in the order of the removals. */
@@ -43,21 +46,23 @@
   /** Lowest offset since which all removals are remembered. */
   private long firstCopyOffset = Long.MAX_VALUE;
 
+  /** End of the topic when it was read after the last return of the store, -1 if there was none. */
+  private long returnedAt = -1;
+
   private boolean holdingRemovals;
 
-  private SharedTable(BiPredicate<byte[], byte[]> sameContent) {
-    this.sameContent = sameContent;
+  private SharedTable(RowRules rules) {
+    this.rules = rules;
   }
 
   /**
    * Returns an empty table.
    *
-   * @param sameContent whether two values of a key mean the same, so that replacing one by the
-   *     other is no change; not null
+   * @param rules meaning of the values, not null
    * @return the table
    */
-  public static SharedTable create(BiPredicate<byte[], byte[]> sameContent) {
-    return new SharedTable(Objects.requireNonNull(sameContent, "sameContent"));
+  public static SharedTable create(RowRules rules) {
+    return new SharedTable(Objects.requireNonNull(rules, "rules"));
   }
 
   /** Returns the offset from which to read next, or -1 if nothing has been read. */
@@ -124,6 +129,10 @@
     if (endOffset < nextOffset) {
       return false;
     }
+    boolean returned = StorePosition.isLaterEra(endOffset, nextOffset);
+    if (returned) {
+      returnedAt = endOffset;
+    }
     Set<String> newest = new HashSet<>();
     records.forEach(record -> newest.add(record.key()));
     boolean changed = false;
@@ -133,7 +142,8 @@
       }
     }
     for (TableRecord record : records) {
-      changed |= apply(record);
+      boolean outdated = returned && (isRemoved(record.key()) || keepsNewer(record));
+      changed |= !outdated && apply(record);
     }
     if (nextOffset < 0) {
       changeOffset = endOffset;
@@ -143,18 +153,36 @@
     return changed;
   }
 
+  /** Returns whether a key was removed, and a row of it in a copy says nothing. */
+  private boolean isRemoved(String key) {
+    return rules.isRepeated() && !rows.containsKey(key) && removals.containsKey(key);
+  }
+
+  /** Returns whether the row of a record's key is newer than the record, which it then outlasts. */
+  private boolean keepsNewer(TableRecord record) {
+    Row current = rows.get(record.key());
+    boolean newer =
+        current != null
+            && record.value().isPresent()
+            && rules.isOlder(current.value, record.value().get());
+    if (newer) {
+      confirm(current, record.offset());
+    }
+    return newer;
+  }
+
   private boolean apply(TableRecord record) {
     Row current = rows.get(record.key());
     if (current != null && current.newestAt >= record.offset()) {
       return false;
     }
     if (record.value().isEmpty()) {
-      return current != null && remove(record.key(), record.offset());
+      return applyRemoval(record);
     }
     heldRemovals.remove(record.key());
     byte[] value = record.value().get();
-    if (current != null && sameContent.test(current.value, value)) {
-      current.newestAt = record.offset();
+    if (current != null && rules.sameContent(current.value, value)) {
+      confirm(current, record.offset());
       return false;
     }
     rows.put(record.key(), new Row(value, record.offset()));
@@ -163,6 +191,31 @@
     return true;
   }
 
+  /**
+   * Records a record that leaves a row as it is. The first one since a return, and each one while
+   * removals are held after it, counts as a change for peers, which may have taken another row from
+   * the copy that the store returned with.
+   */
+  private void confirm(Row row, long offset) {
+    row.newestAt = offset;
+    if (row.changedAt < returnedAt || holdingRemovals && returnedAt >= 0) {
+      row.changedAt = offset;
+      markChanged(offset);
+    }
+  }
+
+  /** After a return, peers may have a row that this table has not, so all removals are for them. */
+  private boolean applyRemoval(TableRecord record) {
+    if (rows.containsKey(record.key())) {
+      return remove(record.key(), record.offset());
+    }
+    if (returnedAt >= 0) {
+      rememberRemoval(record.key(), record.offset());
+      markChanged(record.offset());
+    }
+    return false;
+  }
+
   /** Removes a row, or defers that while removals are held. Returns whether it was removed now. */
   private boolean remove(String key, long offset) {
     if (holdingRemovals) {
@@ -246,13 +299,20 @@
     if (copy.version().offset() <= nextOffset) {
       return false;
     }
-    if (copy.complete()) {
+    boolean returned = StorePosition.isLaterEra(copy.version().offset(), nextOffset);
+    if (copy.complete() && returned) {
+      retainRows(copy);
+    } else if (copy.complete()) {
       rows.clear();
       removals.clear();
       heldRemovals.clear();
       firstCopyOffset = copy.version().offset();
     }
     for (TableCopy.Row row : copy.rows()) {
+      // A peer that had not read farther before a return may pass on a row of the copy.
+      if (keepsNewer(new TableRecord(row.key(), Optional.of(row.value()), row.offset()))) {
+        continue;
+      }
       rows.put(row.key(), new Row(row.value(), row.offset()));
       removals.remove(row.key());
       heldRemovals.remove(row.key());
@@ -267,6 +327,20 @@
     return true;
   }
 
+  /** Removes the rows that a complete copy lacks, and remembers them as removed. */
+  private void retainRows(TableCopy copy) {
+    Set<String> copied = new HashSet<>();
+    copy.rows().forEach(row -> copied.add(row.key()));
+    for (String key : List.copyOf(rows.keySet())) {
+      if (!copied.contains(key)) {
+        rows.remove(key);
+        heldRemovals.remove(key);
+        rememberRemoval(key, copy.version().offset() - 1);
+      }
+    }
+    firstCopyOffset = copy.version().offset();
+  }
+
   /**
    * Advances this table to the version of a peer if both have the same rows.
    *
@@ -286,7 +360,7 @@
     private final byte[] value;
 
     /** Offset of the record that last changed the value. */
-    private final long changedAt;
+    private long changedAt;
 
     /** Offset of the newest record of the key. */
     private long newestAt;
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -47,12 +47,14 @@
 
   /**
    * Replaces the listed replicas. The load of a removed replica is kept until its last request
-   * ends.
+   * ends. A replica that was listed as leaving once is leaving for as long as it runs, whatever a
+   * later list says.
    *
    * @param listed all replicas, including those that are leaving, not null
    */
   public void replace(Collection<UpstreamReplica> listed) {
     lastListed = List.copyOf(listed);
+    listed.stream().filter(UpstreamReplica::leaving).forEach(availability::onLeaving);
     index(
         listed.stream()
             .map(replica -> availability.isLeaving(replica) ? replica.asLeaving() : replica)
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/SharedTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/SharedTableTest.java
@@ -20,9 +20,36 @@
  */
 class SharedTableTest {
 
-  /** Values mean the same if they are equal up to a slash; the rest stands for a heartbeat. */
+  /**
+   * Values mean the same if they are equal up to a slash; the rest stands for a heartbeat.
+   *
+   * @param ordered whether of two values the one that sorts first is older
+   */
+  private record Rules(boolean ordered) implements RowRules {
+    @Override
+    public boolean sameContent(byte[] current, byte[] value) {
+      return meaning(current).equals(meaning(value));
+    }
+
+    @Override
+    public boolean isOlder(byte[] current, byte[] value) {
+      return ordered && meaning(value).compareTo(meaning(current)) < 0;
+    }
+
+    @Override
+    public boolean isRepeated() {
+      return true;
+    }
+  }
+
   private static SharedTable table() {
-    return SharedTable.create((old, value) -> meaning(old).equals(meaning(value)));
+    return SharedTable.create(new Rules(false));
+  }
+
+  private static SharedTable orderedTableAt10() {
+    SharedTable table = SharedTable.create(new Rules(true));
+    table.replace(List.of(put("a", "1", 3), put("b", "1", 7)), 10);
+    return table;
   }
 
   private static String meaning(byte[] value) {
@@ -49,6 +76,52 @@
     return table;
   }
 
+  private static long later(long offset) {
+    return StorePosition.of(1, offset);
+  }
+
+  /** After the store had returned from a copy, all records were ignored up to the old offset. */
+  @Test
+  void recordsOfStoreThatReturnedFromCopyAreApplied() {
+    SharedTable table = orderedTableAt10();
+    table.append(List.of(put("c", "1", 10), put("b", "5", 11), remove("a", 12)), 13);
+    table.holdRemovals();
+    assertFalse(table.replace(List.of(put("a", "1", later(3)), put("b", "1", later(7))), later(8)));
+    assertEquals(Map.of("b", "5", "c", "1"), rows(table), "newer and removed rows stay");
+    assertTrue(table.append(List.of(put("a", "1", later(8)), put("b", "6", later(9))), later(10)));
+    assertEquals(Map.of("a", "1", "b", "6", "c", "1"), rows(table));
+    assertTrue(table.releaseRemovals());
+    assertEquals(Map.of("a", "1", "b", "6"), rows(table), "c was not written again");
+    assertFalse(table.replace(List.of(put("x", "9", 50)), 60), "a late answer of the store before");
+    assertFalse(table.append(List.of(put("x", "9", 50)), 60));
+    assertEquals(later(10), table.offset());
+  }
+
+  /** An instance that was cut off during the return passed on its table of the store before. */
+  @Test
+  void tableOfEarlierEraLosesWhateverItsOffset() {
+    SharedTable returned = orderedTableAt10();
+    returned.replace(List.of(put("a", "2", later(3)), put("b", "1", later(4))), later(5));
+    SharedTable cutOff = orderedTableAt10();
+    cutOff.append(List.of(put("a", "1/seq", 900)), 901);
+    assertFalse(returned.merge(cutOff.copySince(returned.offset())));
+    assertFalse(cutOff.follow(returned.version()));
+    assertTrue(cutOff.merge(returned.copySince(cutOff.offset())));
+    assertEquals(rows(returned), rows(cutOff));
+    assertTrue(cutOff.follow(returned.version()));
+  }
+
+  /** A peer without memory of the time before the return passes on rows of the copy. */
+  @Test
+  void completeCopyAfterReturnDoesNotReplaceNewerRows() {
+    SharedTable table = orderedTableAt10();
+    table.append(List.of(put("a", "7", 10)), 11);
+    SharedTable fresh = SharedTable.create(new Rules(true));
+    fresh.replace(List.of(put("a", "1", later(3)), put("d", "1", later(4))), later(5));
+    assertTrue(table.merge(fresh.copySince(-1)));
+    assertEquals(Map.of("a", "7", "d", "1"), rows(table));
+  }
+
   @Test
   void heartbeatIsNoChange() {
     SharedTable table = tableAt10();
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaAvailabilityTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaAvailabilityTest.java
@@ -55,6 +55,9 @@
     assertEquals(Set.of("r"), registry.unavailable("s", 0));
     registry.replace(List.of(replica("r", 2)));
     assertEquals(List.of(replica("r", 2)), registry.notLeaving("s"));
+    registry.replace(List.of(replica("r", 2).asLeaving()));
+    registry.replace(List.of(replica("r", 2)));
+    assertEquals(List.of(), registry.notLeaving("s"));
   }
 
   @Test
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -12,11 +12,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.core.peer.FewInstancesRead;
 import org.arbutusspar.core.peer.HubTopology;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.PeerTable;
+import org.arbutusspar.core.peer.SharedTable;
+import org.arbutusspar.core.peer.StorePosition;
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -58,6 +61,12 @@
   /** Delay before a failed announcement in the store is retried, in milliseconds. */
   private static final long ANNOUNCE_RETRY_DELAY_MILLIS = 500;
 
+  /** Minimum delay before a lost announcement is repeated, in milliseconds. */
+  private static final long MIN_ANNOUNCE_DELAY_MILLIS = 1_000;
+
+  /** Maximum addition to that delay, in milliseconds; each instance has its own. */
+  private static final long MAX_ANNOUNCE_SPREAD_MILLIS = 3_000;
+
   /**
    * Fixed part of the minimum interval between two status updates caused by changed queue waits, in
    * milliseconds.
@@ -109,8 +118,12 @@
   private final RequestContext context;
   private final ClientHandler clients;
   private final StoreTables tables;
+  private final PromptPartPublisher verdictPublisher;
   private boolean statusUpdateScheduled;
 
+  /** Whether the announcement of this instance has been stored, as far as is known. */
+  private boolean announced;
+
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile boolean leaving;
   private volatile boolean ready;
@@ -143,11 +156,8 @@
     replicas = ReplicaRegistry.create();
     announcements = ReplicaAnnouncements.create(replicas, loop, log);
     announcements.onReplicasChanged(this::onAvailableReplicasChanged);
-    promptParts =
-        PromptPartGuard.create(
-            System::currentTimeMillis,
-            log,
-            PromptPartPublisher.create(peerNetwork, store, loop, log));
+    verdictPublisher = PromptPartPublisher.create(peerNetwork, store, loop, log);
+    promptParts = PromptPartGuard.create(System::currentTimeMillis, log, verdictPublisher);
     engines = new EnginePlacement(peers, peerNetwork, replicas, loop, promptParts);
     pieces = new PieceDispatcher(peers, peerNetwork, replicas, announcements, client, loop, log);
     pieces.onQueueWaitsChanged(this::scheduleStatusUpdate);
@@ -225,7 +235,7 @@
     metrics.gauge(
         "arbutusspar_configuration_offset",
         "Offset of the configuration in force",
-        () -> stateOffset);
+        () -> StorePosition.offset(stateOffset));
     metrics.gauge(
         "arbutusspar_waiting_pieces",
         "Pieces that wait here for a call, for the requests of all instances",
@@ -263,6 +273,28 @@
         () -> snapshot.liveInstances());
   }
 
+  /**
+   * Announces this instance again if the store has lost its announcement, as when it has returned
+   * from a copy. The delay spreads the calls of all instances, and allows for a list that lags.
+   */
+  private void announceAgainIfLost(SharedTable instances) {
+    if (!announced || instances.value(settings.instance()).isPresent()) {
+      return;
+    }
+    announced = false;
+    long spread = Math.floorMod(Rendezvous.hash(settings.instance()), MAX_ANNOUNCE_SPREAD_MILLIS);
+    loop.after(
+        MIN_ANNOUNCE_DELAY_MILLIS + spread,
+        () -> {
+          if (instances.value(settings.instance()).isPresent()) {
+            announced = true;
+          } else {
+            log.write("announce-again", "offset", StorePosition.toText(instances.offset()));
+            announce();
+          }
+        });
+  }
+
   /** Writes this instance to the list of instances in the store, with retries until it leaves. */
   private void announce() {
     if (leaving) {
@@ -275,6 +307,7 @@
             (done, failure) ->
                 loop.post(
                     () -> {
+                      announced = failure == null;
                       if (failure != null) {
                         log.write("announce-failed", "error", failure.getMessage());
                         loop.after(ANNOUNCE_RETRY_DELAY_MILLIS, this::announce);
@@ -305,7 +338,12 @@
     try {
       newState = ConfigurationReader.read(configuration);
     } catch (IOException e) {
-      log.write("configuration-malformed", "offset", offset, "error", e.getMessage());
+      log.write(
+          "configuration-malformed",
+          "offset",
+          StorePosition.toText(offset),
+          "error",
+          e.getMessage());
       return;
     }
     if (state != null && newState.version() <= state.version()) {
@@ -323,7 +361,7 @@
         "version",
         newState.version(),
         "offset",
-        offset,
+        StorePosition.toText(offset),
         "routes",
         newState.routes().routes().size());
   }
@@ -364,7 +402,7 @@
             "slots",
             replica.slots(),
             "offset",
-            tables.table(TableName.REPLICAS).offset());
+            StorePosition.toText(tables.table(TableName.REPLICAS).offset()));
       }
     }
     for (UpstreamReplica removed : replicas.missingFrom(newReplicas)) {
@@ -373,7 +411,7 @@
           "replica",
           removed.id(),
           "offset",
-          tables.table(TableName.REPLICAS).offset());
+          StorePosition.toText(tables.table(TableName.REPLICAS).offset()));
     }
   }
 
@@ -381,6 +419,8 @@
     if (changed) {
       consumer.table().values().forEach(this::discover);
     }
+    announceAgainIfLost(consumer.table());
+    verdictPublisher.publishLost(consumer.table());
     onTableRead(changed);
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PromptPartPublisher.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PromptPartPublisher.java
@@ -1,9 +1,11 @@
 package org.arbutusspar.entry.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.arbutusspar.core.peer.SharedTable;
 import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.link.PeerCodec;
@@ -22,7 +24,7 @@
   /** Prefix of the keys of decisions in the list of instances. */
   private static final String KEY_PREFIX = "part/";
 
-  /** Delay before a failed append is retried, in milliseconds. */
+  /** Delay before an append that failed or was lost is repeated, in milliseconds. */
   private static final long RETRY_DELAY_MILLIS = 500;
 
   private final PeerNetwork peerNetwork;
@@ -30,9 +32,12 @@
   private final EventLoop loop;
   private final EventLog log;
 
-  /** The last decision on each part that has not been stored. */
+  /** The last decision of this instance on each part that has not been stored. */
   private final Map<String, PromptPartVerdict> unstored = new HashMap<>();
 
+  /** The last decision of this instance on each part that has been stored. */
+  private final Map<String, PromptPartVerdict> stored = new HashMap<>();
+
   private PromptPartPublisher(
       PeerNetwork peerNetwork, StoreClient store, EventLoop loop, EventLog log) {
     this.peerNetwork = peerNetwork;
@@ -62,6 +67,21 @@
     append(verdict);
   }
 
+  /**
+   * Appends the decisions again that the store has lost, as when it has returned from a copy.
+   *
+   * @param instances the list of instances as it is known, not null
+   */
+  void publishLost(SharedTable instances) {
+    for (PromptPartVerdict verdict : List.copyOf(stored.values())) {
+      if (instances.value(KEY_PREFIX + verdict.part()).isEmpty()) {
+        stored.remove(verdict.part());
+        unstored.put(verdict.part(), verdict);
+        retryLater(verdict);
+      }
+    }
+  }
+
   private void append(PromptPartVerdict verdict) {
     byte[] value = PeerCodec.encode(new PeerMessage.PartVerdict(verdict), 0);
     store
@@ -71,10 +91,16 @@
 
   private void onAppended(PromptPartVerdict verdict, Throwable failure) {
     if (failure == null) {
-      unstored.remove(verdict.part(), verdict);
+      if (unstored.remove(verdict.part(), verdict)) {
+        stored.put(verdict.part(), verdict);
+      }
       return;
     }
     log.write("part-not-stored", "part", verdict.part(), "error", failure.getMessage());
+    retryLater(verdict);
+  }
+
+  private void retryLater(PromptPartVerdict verdict) {
     loop.after(
         RETRY_DELAY_MILLIS,
         () -> {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
@@ -1,6 +1,5 @@
 package org.arbutusspar.entry.gateway;
 
-import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.List;
@@ -11,7 +10,9 @@
 import org.arbutusspar.core.peer.FewInstancesRead;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerTable;
+import org.arbutusspar.core.peer.RowRules;
 import org.arbutusspar.core.peer.SharedTable;
+import org.arbutusspar.core.peer.StorePosition;
 import org.arbutusspar.core.peer.StoreReaders;
 import org.arbutusspar.core.peer.StoreRole;
 import org.arbutusspar.core.peer.StoreView;
@@ -20,7 +21,6 @@
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.link.PeerCodec;
 import org.arbutusspar.io.link.PeerMessage;
-import org.arbutusspar.platform.ReplicaReader;
 import org.arbutusspar.platform.StoreClient;
 
 /**
@@ -126,7 +126,7 @@
               loop,
               log,
               pollInterval(name),
-              SharedTable.create((old, value) -> sameContent(name, old, value)),
+              SharedTable.create(rowRules(name)),
               listeners.get(name)));
     }
     return tables;
@@ -148,11 +148,12 @@
     };
   }
 
-  /** Returns whether two values mean the same. A heartbeat of a replica repeats its entry. */
-  private static boolean sameContent(TableName name, byte[] old, byte[] value) {
-    return Arrays.equals(old, value)
-        || name == TableName.REPLICAS
-            && ReplicaReader.read("", old).equals(ReplicaReader.read("", value));
+  private static RowRules rowRules(TableName name) {
+    return switch (name) {
+      case CONFIGURATION -> new ConfigurationRules();
+      case REPLICAS -> new ReplicaRules();
+      case INSTANCES -> new InstanceRules();
+    };
   }
 
   /** Starts to read all tables. */
@@ -252,9 +253,9 @@
           "table",
           data.table(),
           "offset",
-          data.copy().version().offset(),
+          StorePosition.toText(data.copy().version().offset()),
           "own_offset",
-          consumer.table().offset(),
+          StorePosition.toText(consumer.table().offset()),
           "rows",
           data.copy().rows().size());
       consumer.merge(data.copy());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.peer.SharedTable;
+import org.arbutusspar.core.peer.StorePosition;
 import org.arbutusspar.core.peer.StoreRole;
 import org.arbutusspar.core.peer.StoreView;
 import org.arbutusspar.core.peer.TableCopy;
@@ -19,7 +20,8 @@
  * makes no calls once it has read the table, and takes over the copies of peers.
  *
  * <p>While the store is unreachable, the rows stay as they are, and calls are retried with
- * exponential backoff. For a time after an outage, rows are updated but not removed.
+ * exponential backoff. For a time after an outage, or after the store has returned from a copy,
+ * rows are updated but not removed.
  *
  * <p>Not thread-safe: all methods run on the event loop.
  */
@@ -194,7 +196,8 @@
   private void onFailure(Throwable failure) {
     Throwable cause = failure.getCause() == null ? failure : failure.getCause();
     if (cause instanceof HistoryLostException) {
-      log.write("store-history-lost", "topic", topic, "offset", table.offset());
+      log.write(
+          "store-history-lost", "topic", topic, "offset", StorePosition.toText(table.offset()));
       readNewest();
       return;
     }
@@ -202,7 +205,13 @@
       storeUnreachable = true;
       unreachableSince = loop.now();
       log.write(
-          "store-lost", "topic", topic, "offset", table.offset(), "reason", cause.getMessage());
+          "store-lost",
+          "topic",
+          topic,
+          "offset",
+          StorePosition.toText(table.offset()),
+          "reason",
+          cause.getMessage());
     }
     readAgainAfter(retryDelayMillis);
     long maxDelayMillis =
@@ -224,16 +233,20 @@
         "topic",
         topic,
         "offset",
-        table.offset(),
+        StorePosition.toText(table.offset()),
         "away_ms",
         Math.round(outageMillis));
     if (outageMillis >= MIN_OUTAGE_MILLIS) {
-      table.holdRemovals();
-      removalsHeldUntil = loop.now() + Nanos.ofMillis(REMOVAL_HOLD_MILLIS);
-      loop.after(REMOVAL_HOLD_MILLIS + 1, this::applyHeldRemovals);
+      holdRemovals();
     }
   }
 
+  private void holdRemovals() {
+    table.holdRemovals();
+    removalsHeldUntil = loop.now() + Nanos.ofMillis(REMOVAL_HOLD_MILLIS);
+    loop.after(REMOVAL_HOLD_MILLIS + 1, this::applyHeldRemovals);
+  }
+
   /** Returns whether the last call to the store failed. */
   boolean isStoreUnreachable() {
     return storeUnreachable;
@@ -245,6 +258,17 @@
   }
 
   private void onNewest(KeyedPage page) {
+    if (StorePosition.isLaterEra(page.nextOffset(), table.offset())) {
+      log.write(
+          "store-returned",
+          "topic",
+          topic,
+          "offset",
+          StorePosition.toText(page.nextOffset()),
+          "own_offset",
+          StorePosition.toText(table.offset()));
+      holdRemovals();
+    }
     notifyListener(table.replace(page.records(), page.nextOffset()));
     readAgainAfter(pollInterval.pauseMillis());
   }
