Order rows only where both can be read, and bound what replicas announce

Found while reading the diff: a malformed row counted as older than a readable one, so that a follower kept a replica that its reader no longer listed (RowRulesTest); a replica whose entry does not state its start would never have been used again after its predecessor had left under the same identifier (ReplicaAvailabilityTest.announcementOf...); the replicas that may not be sent a request were looked up among those of all services for each request.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/RowRules.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/RowRules.java
@@ -14,12 +14,12 @@
   boolean sameContent(byte[] current, byte[] value);
 
   /**
-   * Returns whether a value that a store has returned with from a copy is older than the one in the
-   * table.
+   * Returns whether a value that a store has returned with from a copy, or that a peer has, is
+   * older than the one in the table.
    *
    * @param current the value in the table, not null
-   * @param value the value of the copy, not null
-   * @return true if the table must not go back to the value
+   * @param value the other value, not null
+   * @return true if the table must not go back to the value; false if either one is malformed
    */
   boolean isOlder(byte[] current, byte[] value);
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
@@ -153,7 +153,7 @@
     return changed;
   }
 
-  /** Returns whether a key was removed, and a row of it in a copy says nothing. */
+  /** Returns whether a key was removed, and only a record that is appended again revokes that. */
   private boolean isRemoved(String key) {
     return rules.isRepeated() && !rows.containsKey(key) && removals.containsKey(key);
   }
@@ -204,7 +204,10 @@
     }
   }
 
-  /** After a return, peers may have a row that this table has not, so all removals are for them. */
+  /**
+   * Applies a record that removes a key. After a return it counts as a change also if there is no
+   * such row, since peers may have one.
+   */
   private boolean applyRemoval(TableRecord record) {
     if (rows.containsKey(record.key())) {
       return remove(record.key(), record.offset());
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
@@ -3,13 +3,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.arbutusspar.core.BoundedMaps;
 import org.arbutusspar.core.Nanos;
 
 /**
@@ -64,15 +64,16 @@
   private static final int MAX_SOUND_PARTS = 16_384;
   private static final int MAX_CRASHED_REPLICAS = 512;
 
-  private final Map<String, PlacedRequest> requests = bounded(MAX_REQUESTS);
-  private final Map<String, Suspect> suspects = bounded(MAX_SUSPECTS);
-  private final Map<String, Boolean> soundParts = bounded(MAX_SOUND_PARTS);
+  private final Map<String, PlacedRequest> requests = BoundedMaps.droppingOldest(MAX_REQUESTS);
+  private final Map<String, Suspect> suspects = BoundedMaps.droppingOldest(MAX_SUSPECTS);
+  private final Map<String, Boolean> soundParts = BoundedMaps.droppingOldest(MAX_SOUND_PARTS);
 
   /** Time of the last supposed crash, by replica. */
-  private final Map<String, Long> crashTimes = bounded(MAX_CRASHED_REPLICAS);
+  private final Map<String, Long> crashTimes = BoundedMaps.droppingOldest(MAX_CRASHED_REPLICAS);
 
   /** Replicas that crashed under a crashing part. */
-  private final Map<String, Boolean> explainedReplicas = bounded(MAX_CRASHED_REPLICAS);
+  private final Map<String, Boolean> explainedReplicas =
+      BoundedMaps.droppingOldest(MAX_CRASHED_REPLICAS);
 
   private CrashingPartDetector() {}
 
@@ -81,15 +82,6 @@
     return new CrashingPartDetector();
   }
 
-  private static <T> Map<String, T> bounded(int maxEntries) {
-    return new LinkedHashMap<>() {
-      @Override
-      protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
-        return size() > maxEntries;
-      }
-    };
-  }
-
   /**
    * Records that a request has been placed.
    *
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/PromptPartVerdicts.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/PromptPartVerdicts.java
@@ -1,9 +1,9 @@
 package org.arbutusspar.core.placement;
 
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.arbutusspar.core.BoundedMaps;
 
 /**
  * The decision in force on each prompt part, as far as one was made. Decisions of any instance may
@@ -14,7 +14,7 @@
   /** Maximum number of parts; beyond it, the part that was added first is dropped. */
   private static final int MAX_PARTS = 512;
 
-  private final Map<String, PromptPartVerdict> verdicts = new LinkedHashMap<>();
+  private final Map<String, PromptPartVerdict> verdicts = BoundedMaps.droppingOldest(MAX_PARTS);
 
   private PromptPartVerdicts() {}
 
@@ -35,9 +35,6 @@
       return false;
     }
     verdicts.put(verdict.part(), verdict);
-    if (verdicts.size() > MAX_PARTS) {
-      verdicts.remove(verdicts.keySet().iterator().next());
-    }
     return true;
   }
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaAvailability.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaAvailability.java
@@ -1,9 +1,11 @@
 package org.arbutusspar.core.placement;
 
 import java.util.Collection;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
+import org.arbutusspar.core.BoundedMaps;
 import org.arbutusspar.core.Nanos;
 
 /**
@@ -20,8 +22,11 @@
 
   private static final int MAX_REPLICAS = 8_192;
 
-  private final Map<String, Boolean> leaving = bounded();
-  private final Map<String, Long> backoffEnds = bounded();
+  /** End of the name of an incarnation whose start is not known. */
+  private static final String UNKNOWN_START = "@0";
+
+  private final Map<String, Boolean> leaving = BoundedMaps.droppingOldest(MAX_REPLICAS);
+  private final Map<String, Long> backoffEnds = BoundedMaps.droppingOldest(MAX_REPLICAS);
 
   private ReplicaAvailability() {}
 
@@ -30,15 +35,6 @@
     return new ReplicaAvailability();
   }
 
-  private static <T> Map<String, T> bounded() {
-    return new LinkedHashMap<>() {
-      @Override
-      protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
-        return size() > MAX_REPLICAS;
-      }
-    };
-  }
-
   /**
    * Records that a replica has announced its shutdown.
    *
@@ -49,6 +45,24 @@
     return leaving.put(replica.incarnation(), true) == null;
   }
 
+  /**
+   * Records what the list of replicas says. A replica that is listed as leaving does not return to
+   * service. If the list does not state when a replica started, its announcements end when it is no
+   * longer listed, since a later replica may have its identifier.
+   *
+   * @param listed all listed replicas, not null
+   */
+  public void onListed(Collection<UpstreamReplica> listed) {
+    Set<String> incarnations = new HashSet<>();
+    for (UpstreamReplica replica : listed) {
+      incarnations.add(replica.incarnation());
+      if (replica.leaving() && replica.startedMillis() > 0) {
+        onLeaving(replica);
+      }
+    }
+    leaving.keySet().removeIf(name -> name.endsWith(UNKNOWN_START) && !incarnations.contains(name));
+  }
+
   /**
    * Records that a replica wants no requests for some time. An announcement never shortens an
    * earlier one.
@@ -58,10 +72,16 @@
    * @param now current time
    */
   public void onBackoff(UpstreamReplica replica, long millis, long now) {
+    backoffEnds.values().removeIf(end -> now - end >= 0);
     long end = now + Nanos.ofMillis(millis);
     backoffEnds.merge(replica.incarnation(), end, (a, b) -> a - b > 0 ? a : b);
   }
 
+  /** Returns whether any replica may want no requests. */
+  public boolean hasBackoffs() {
+    return !backoffEnds.isEmpty();
+  }
+
   /** Returns whether a replica has announced its shutdown. */
   public boolean isLeaving(UpstreamReplica replica) {
     return leaving.containsKey(replica.incarnation());
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -38,6 +38,9 @@
   private final ReplicaAvailability availability = ReplicaAvailability.create();
   private Collection<UpstreamReplica> lastListed = List.of();
 
+  /** Identifiers of replicas that leave by their own word but not by the list, by service. */
+  private Map<String, Set<String>> leavingUnlisted = Map.of();
+
   private ReplicaRegistry() {}
 
   /** Returns a registry without replicas. */
@@ -54,7 +57,16 @@
    */
   public void replace(Collection<UpstreamReplica> listed) {
     lastListed = List.copyOf(listed);
-    listed.stream().filter(UpstreamReplica::leaving).forEach(availability::onLeaving);
+    availability.onListed(listed);
+    Map<String, Set<String>> unlisted = new HashMap<>();
+    listed.stream()
+        .filter(replica -> !replica.leaving() && availability.isLeaving(replica))
+        .forEach(
+            replica ->
+                unlisted
+                    .computeIfAbsent(replica.service(), s -> new HashSet<>())
+                    .add(replica.id()));
+    leavingUnlisted = unlisted;
     index(
         listed.stream()
             .map(replica -> availability.isLeaving(replica) ? replica.asLeaving() : replica)
@@ -152,11 +164,11 @@
   }
 
   /**
-   * Returns whether a replica may be sent anything.
+   * Returns whether a replica wants no requests now.
    *
    * @param replica the replica, not null
    * @param now current monotonic time, in nanoseconds
-   * @return false if it has asked for a pause that has not ended
+   * @return true if it has asked for a pause that has not ended
    */
   public boolean isBackingOff(UpstreamReplica replica, long now) {
     return availability.isBackingOff(replica, now);
@@ -175,19 +187,19 @@
   }
 
   /**
-   * Returns the identifiers of the listed replicas of a service that may not be sent new requests,
-   * except those that leave by the list only.
+   * Returns the identifiers of the replicas of a service that may not be sent new requests although
+   * the list says that they are not leaving.
    *
    * @param service name of the service, not null
    * @param now current monotonic time, in nanoseconds
    * @return the identifiers
    */
   public Set<String> unavailable(String service, long now) {
-    Set<String> ids = new HashSet<>();
-    for (UpstreamReplica replica : byId.values()) {
-      if (replica.service().equals(service) && !mayReceive(replica, now)) {
-        ids.add(replica.id());
-      }
+    Set<String> ids = new HashSet<>(leavingUnlisted.getOrDefault(service, Set.of()));
+    if (availability.hasBackoffs()) {
+      notLeaving(service).stream()
+          .filter(replica -> availability.isBackingOff(replica, now))
+          .forEach(replica -> ids.add(replica.id()));
     }
     return ids;
   }
@@ -200,7 +212,10 @@
    * @return the time in nanoseconds, 0 if one may be sent requests now; empty if none is listed
    */
   public OptionalLong nanosUntilAvailable(String service, long now) {
-    return availability.nanosUntilAvailable(notLeaving(service), now);
+    List<UpstreamReplica> listed = notLeaving(service);
+    return listed.isEmpty() || availability.hasBackoffs()
+        ? availability.nanosUntilAvailable(listed, now)
+        : OptionalLong.of(0);
   }
 
   /**
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaAvailabilityTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaAvailabilityTest.java
@@ -60,6 +60,21 @@
     assertEquals(List.of(), registry.notLeaving("s"));
   }
 
+  /** A replica was never used again, since its predecessor had left under the same identifier. */
+  @Test
+  void announcementOfReplicaWithoutStartEndsWithItsEntry() {
+    ReplicaRegistry registry = ReplicaRegistry.create();
+    registry.replace(List.of(replica("r", 0)));
+    registry.onLeaving(replica("r", 0));
+    assertEquals(List.of(), registry.notLeaving("s"));
+    registry.replace(List.of());
+    registry.replace(List.of(replica("r", 0)));
+    assertEquals(List.of(replica("r", 0)), registry.notLeaving("s"));
+    registry.replace(List.of(replica("r", 0).asLeaving()));
+    registry.replace(List.of(replica("r", 0)));
+    assertEquals(List.of(replica("r", 0)), registry.notLeaving("s"));
+  }
+
   @Test
   void replicaThatBacksOffIsNotChosenEvenIfItIsTheOnlyOne() {
     ReplicaRegistry registry = ReplicaRegistry.create();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ConfigurationRules.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ConfigurationRules.java
@@ -19,6 +19,7 @@
 
   @Override
   public boolean isOlder(byte[] current, byte[] value) {
-    return ConfigurationReader.version(value) < ConfigurationReader.version(current);
+    long copied = ConfigurationReader.version(value);
+    return copied >= 0 && copied < ConfigurationReader.version(current);
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/InstanceRules.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/InstanceRules.java
@@ -24,11 +24,12 @@
 
   @Override
   public boolean isOlder(byte[] current, byte[] value) {
-    return age(value) < age(current);
+    long copied = sequence(value);
+    return copied >= 0 && copied < sequence(current);
   }
 
   /** Returns a number that is larger for a later row of the same key, -1 if it is malformed. */
-  private static long age(byte[] value) {
+  private static long sequence(byte[] value) {
     try {
       PeerMessage message = PeerCodec.decode(value, 0);
       if (message instanceof PeerMessage.Hello hello) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ReplicaRules.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ReplicaRules.java
@@ -28,7 +28,7 @@
     Optional<UpstreamReplica> known = ReplicaReader.read("", current);
     Optional<UpstreamReplica> copied = ReplicaReader.read("", value);
     if (known.isEmpty() || copied.isEmpty()) {
-      return known.isPresent();
+      return false;
     }
     long knownStart = known.get().startedMillis();
     long copiedStart = copied.get().startedMillis();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -237,15 +237,8 @@
       return;
     }
     markEnded();
-    if (forwarding && isTruncatedEventStream()) {
-      onBrokenStream(TRUNCATED);
-      return;
-    }
     if (forwarding) {
-      logEndOfStream("between-events");
-      context.replicas().onValidResponse(replica, elapsedMillis());
-      exchange.endResponse();
-      owner.onResponseForwarded(response.status());
+      onForwardedToEnd();
       return;
     }
     if (response.isMisdirected()) {
@@ -281,13 +274,30 @@
     owner.onResponseForwarded(buffered.status());
   }
 
+  private void onForwardedToEnd() {
+    if (isTruncatedEventStream()) {
+      onForwardedInPart(TRUNCATED);
+      return;
+    }
+    logEndOfStream("between-events");
+    context.replicas().onValidResponse(replica, elapsedMillis());
+    exchange.endResponse();
+    owner.onResponseForwarded(response.status());
+  }
+
+  private void onForwardedInPart(String reason) {
+    logEndOfStream(reason);
+    context.replicas().onNoResponse(replica, context.loop().now());
+    owner.onResponseBroken(reason);
+  }
+
   private void onBroken(String reason) {
     if (ended) {
       return;
     }
     markEnded();
     if (forwarding) {
-      onBrokenStream(reason);
+      onForwardedInPart(reason);
       return;
     }
     context.replicas().onNoResponse(replica, context.loop().now());
@@ -299,16 +309,9 @@
     }
   }
 
-  private void onBrokenStream(String reason) {
-    context.replicas().onNoResponse(replica, context.loop().now());
-    logEndOfStream(reason);
-    owner.onResponseBroken(reason);
-  }
-
   /**
    * Returns whether a response that HTTP takes for complete is a stream of events that broke off.
-   * Where the end of the connection is the only mark of the end, it is not distinct from the end of
-   * a process that crashed, and a stream of no events says nothing.
+   * The end of a connection marks the end of a body without a length, but a crash ends it as well.
    */
   private boolean isTruncatedEventStream() {
     boolean noEvents = framing == BodyFraming.UNTIL_CLOSE && position.events() == 0;
