Add a seeded run of overlapping faults on the platform path

Three instances under load; stops and restarts of instances, a store that returns from a copy, engines that announce their shutdown or a pause, prompts that crash engines and withdrawn keys overlap in random order. Checked from what clients and engines see: own responses only, not-run is true, withdrawn keys, shutdowns, pauses, late crashes. Three seeds of 12 s in each build, more with -Dsoak.first and -Dsoak.seeds.

--- /dev/null
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
@@ -0,0 +1,368 @@
+package org.arbutusspar.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.arbutusspar.core.balancing.Endpoint;
+import org.arbutusspar.io.http.RawCall;
+import org.arbutusspar.io.http.RawReply;
+import org.arbutusspar.platform.standin.ReplicaStandin;
+import org.arbutusspar.platform.standin.ReplicaStandin.Behaviour;
+import org.arbutusspar.platform.standin.SampleTraffic;
+import org.arbutusspar.platform.standin.StoreStandin;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Runs three instances under load while faults overlap in random order: instances that stop or are
+ * closed and start again, a store that returns from a copy, engines that announce their shutdown or
+ * a pause, prompts that crash engines, and withdrawn keys. More seeds: -Dsoak.first=1
+ * -Dsoak.seeds=50
+ */
+class OverlappingFaultsSoakTest extends GatewayRig {
+
+  private static final long RUN_MILLIS = 12_000;
+  private static final int INSTANCES = 3;
+  private static final int ENGINES = 4;
+  private static final long RESTART_MILLIS = 400;
+  private static final String CRASHING_PART = "bad";
+  private static final int FIRST_VERSION = 2;
+
+  /** Bounds of the users' pages for the first sites. */
+  private static final long DRAIN_NANOS = 2_000_000_000L;
+
+  private static final long STABILITY_NANOS = 3_000_000_000L;
+  private static final long APPLY_NANOS = 2_000_000_000L;
+  private static final long UNDER_WAY_NANOS = 500_000_000L;
+  private static final long PAUSE_NANOS = 1_000_000_000L;
+  private static final int CRASHES_TO_DETECT = 5;
+  private static final int MAX_LATE_REQUESTS = 3;
+
+  private final List<Engine> engines = new CopyOnWriteArrayList<>();
+  private final List<Engine> formerEngines = new CopyOnWriteArrayList<>();
+  private final Map<Integer, Instance> instances = new ConcurrentHashMap<>();
+  private final List<Long> crashTimes = new CopyOnWriteArrayList<>();
+  private final Set<String> rejectedIds = ConcurrentHashMap.newKeySet();
+  private final List<String> violations = new CopyOnWriteArrayList<>();
+  private final AtomicInteger sent = new AtomicInteger();
+  private final AtomicInteger started = new AtomicInteger();
+  private final Map<Integer, Long> replacedAt = new ConcurrentHashMap<>();
+
+  /** Start and end of each outage of the store. */
+  private final List<long[]> outages = new CopyOnWriteArrayList<>();
+
+  private volatile int version = FIRST_VERSION;
+  private volatile boolean returning;
+  private volatile boolean stopped;
+  private Random random;
+
+  /** An engine with the times of its pauses and of its shutdown, 0 before that. */
+  private static final class Engine {
+    private final String id;
+    private final ReplicaStandin standin;
+    private final List<Long> pauses = new CopyOnWriteArrayList<>();
+    private volatile long leavingSince;
+
+    private Engine(String id, ReplicaStandin standin) {
+      this.id = id;
+      this.standin = standin;
+    }
+  }
+
+  static Stream<Integer> seeds() {
+    int first = Integer.getInteger("soak.first", 1);
+    return IntStream.range(first, first + Integer.getInteger("soak.seeds", 3)).boxed();
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void promisesHoldUnderOverlappingFaults(int seed) throws Exception {
+    random = new Random(seed);
+    store.putConfiguration(SampleTraffic.configuration(version, "key" + version));
+    store.takeCopy();
+    for (int i = 0; i < INSTANCES; i++) {
+      instances.put(i, start(i));
+    }
+    for (int i = 0; i < ENGINES; i++) {
+      startEngine();
+    }
+    store.putReplica("i-1", "");
+    await(() -> instances.values().stream().allMatch(i -> isServed(i)), 15_000);
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Random clientRandom = new Random(seed * 100L + i);
+      threads.add(new Thread(() -> sendUntilStopped(clientRandom)));
+    }
+    threads.add(new Thread(this::writeHeartbeatsUntilStopped));
+    threads.forEach(Thread::start);
+    long end = System.nanoTime() + RUN_MILLIS * 1_000_000;
+    while (System.nanoTime() - end < 0) {
+      injectFault();
+      sleep(200 + random.nextInt(500));
+    }
+    await(() -> instances.values().stream().allMatch(i -> isReady(i) && isServed(i)), 15_000);
+    stopped = true;
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    check(seed);
+  }
+
+  private Instance start(int number) throws IOException {
+    String address = "127.0.0." + (number + 1);
+    List<Endpoint> seeds = instances.values().stream().map(i -> i.settings().links()).toList();
+    return startInstance("e-" + (number + 1), address, seeds, 2_000);
+  }
+
+  private void startEngine() {
+    try {
+      String id = "c-" + started.incrementAndGet();
+      ReplicaStandin standin =
+          closeAfterTest(ReplicaStandin.start(id, freeEndpoint(FIRST_ADDRESS)));
+      Engine started = new Engine(id, standin);
+      standin.setBehaviour(Behaviour.STREAM);
+      standin.crashOn(
+          CRASHING_PART,
+          () -> {
+            crashTimes.add(System.nanoTime());
+            standin.close();
+            replace(started, RESTART_MILLIS);
+          });
+      engines.add(started);
+      store.putReplica(id, standin.listEntry(SampleTraffic.ENGINE, false));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void replace(Engine engine, long delayMillis) {
+    if (engines.remove(engine)) {
+      formerEngines.add(engine);
+      sleep(delayMillis);
+      if (!stopped) {
+        startEngine();
+      }
+    }
+  }
+
+  private void injectFault() throws Exception {
+    switch (random.nextInt(6)) {
+      case 0 -> restartInstance();
+      case 1 -> returnStore();
+      case 2 -> anyEngine().ifPresent(this::leave);
+      case 3 -> anyEngine().ifPresent(this::pause);
+      case 4 -> replaceKey();
+      default -> store.takeCopy();
+    }
+  }
+
+  /** Returns an engine that has neither crashed nor left, or empty if all have. */
+  private Optional<Engine> anyEngine() {
+    List<Engine> current = List.copyOf(engines);
+    return current.isEmpty()
+        ? Optional.empty()
+        : Optional.of(current.get(random.nextInt(current.size())));
+  }
+
+  private void restartInstance() throws Exception {
+    if (returning) {
+      // An instance that starts before the operator has written again has no memory.
+      return;
+    }
+    int number = random.nextInt(INSTANCES);
+    Instance former = instances.get(number);
+    if (random.nextBoolean()) {
+      former.gateway().leave("test");
+      former.gateway().await();
+    }
+    former.gateway().close();
+    instances.put(number, start(number));
+  }
+
+  private void returnStore() {
+    if (returning) {
+      return;
+    }
+    returning = true;
+    long[] outage = {System.nanoTime(), Long.MAX_VALUE};
+    outages.add(outage);
+    store.setFault(StoreStandin.Fault.DOWN);
+    inBackground(
+        () -> {
+          sleep(300 + version * 37 % 600);
+          store.returnFromCopy();
+          store.setFault(StoreStandin.Fault.NONE);
+          outage[1] = System.nanoTime();
+          sleep(300);
+          store.putConfiguration(SampleTraffic.configuration(version, "key" + version));
+          returning = false;
+        });
+  }
+
+  private void leave(Engine engine) {
+    if (engine.leavingSince != 0) {
+      return;
+    }
+    engine.standin.announceLeaving(true);
+    engine.leavingSince = System.nanoTime();
+    inBackground(
+        () -> {
+          sleep(1_000);
+          replace(engine, 0);
+        });
+  }
+
+  private void pause(Engine engine) {
+    engine.pauses.add(System.nanoTime());
+    engine.standin.rejectWithBackoff("1");
+    inBackground(
+        () -> {
+          sleep(1_000);
+          engine.standin.rejectWithBackoff("");
+        });
+  }
+
+  private void replaceKey() {
+    if (!returning) {
+      replacedAt.put(version, System.nanoTime());
+      int next = version + 1;
+      store.putConfiguration(SampleTraffic.configuration(next, "key" + next));
+      version = next;
+    }
+  }
+
+  private static void inBackground(Runnable task) {
+    Thread thread = new Thread(task, "fault");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Replicas write their entries all the time; entries of those that left are removed. */
+  private void writeHeartbeatsUntilStopped() {
+    while (!stopped) {
+      store.putReplica("i-2", worker.listEntry(SampleTraffic.WORKER, false));
+      engines.forEach(
+          e -> store.putReplica(e.id, e.standin.listEntry(SampleTraffic.ENGINE, false)));
+      formerEngines.forEach(e -> store.putReplica(e.id, ""));
+      sleep(300);
+    }
+  }
+
+  private void sendUntilStopped(Random clientRandom) {
+    while (!stopped) {
+      Instance instance = instances.get(clientRandom.nextInt(INSTANCES));
+      int keyVersion =
+          clientRandom.nextInt(8) == 0 ? Math.max(FIRST_VERSION, version - 1) : version;
+      String part = clientRandom.nextInt(25) == 0 ? CRASHING_PART : "good" + sent.get() % 9;
+      String target = List.of("/n/x", "/p/x", "/s/x").get(clientRandom.nextInt(3));
+      request(instance, target, part, keyVersion);
+      sleep(clientRandom.nextInt(40));
+    }
+  }
+
+  private boolean isServed(Instance instance) {
+    return request(instance, "/p/x", "good", version) == 200;
+  }
+
+  /** Sends a request and checks its response; returns the status, 0 if there is none. */
+  private int request(Instance instance, String target, String part, int keyVersion) {
+    String id = "r" + sent.incrementAndGet();
+    String key = "key" + keyVersion;
+    Long withdrawnAt = replacedAt.get(keyVersion);
+    boolean withdrawn =
+        withdrawnAt != null && System.nanoTime() - withdrawnAt > APPLY_NANOS + STABILITY_NANOS;
+    RawCall call = SampleTraffic.request(instance.settings().clients(), target, id, key);
+    RawReply reply =
+        client
+            .fetch("test", SampleTraffic.withPrompt(call, "common:8," + part + ":4," + id + ":2"))
+            .exceptionally(failure -> null)
+            .join();
+    if (reply == null) {
+      return 0;
+    }
+    if (reply.status() == 503 || reply.status() == 429) {
+      rejectedIds.add(id);
+    }
+    if (reply.status() == 200 && withdrawn) {
+      violations.add(id + " was served with key " + key + ", withdrawn, version " + version);
+    }
+    boolean signed = reply.field("X-Response-Signature").orElse("").endsWith("." + id);
+    if (reply.status() == 200 && !signed) {
+      violations.add(id + " got the response of another request");
+    }
+    return reply.status();
+  }
+
+  /** Each instance may send a request that starts its pause, and two in the pause. */
+  private void checkPause(Engine engine, long start) {
+    long inPause =
+        engine.standin.receivedNanos().stream()
+            .filter(t -> t - start > UNDER_WAY_NANOS && t - start < PAUSE_NANOS)
+            .count();
+    if (inPause > 3 * INSTANCES) {
+      violations.add(engine.id + " got " + inPause + " requests in a pause");
+    }
+  }
+
+  /**
+   * Returns whether the store was away or has returned a short time ago. The users' pages count a
+   * replica as gone only for instances that reach a stable store, and an instance that has started
+   * since does not know what the copy lacks.
+   */
+  private boolean isCoreUnstable(long time) {
+    return outages.stream()
+        .anyMatch(
+            outage ->
+                time - outage[0] > 0
+                    && (outage[1] == Long.MAX_VALUE || time - outage[1] < STABILITY_NANOS));
+  }
+
+  private void check(int seed) {
+    Map<String, Integer> runs = new HashMap<>();
+    Set<Engine> all = new HashSet<>(engines);
+    all.addAll(formerEngines);
+    for (Engine each : all) {
+      each.standin
+          .executedHeaders()
+          .forEach(fields -> runs.merge(fields.get("X-Attempt-Id"), 1, Integer::sum));
+      long since = each.leavingSince;
+      long late =
+          each.standin.receivedNanos().stream()
+              .filter(t -> since != 0 && t - since > DRAIN_NANOS + STABILITY_NANOS)
+              .filter(t -> !isCoreUnstable(t))
+              .count();
+      if (late > 0) {
+        violations.add(each.id + " got " + late + " requests after it had left");
+      }
+      each.pauses.forEach(start -> checkPause(each, start));
+    }
+    rejectedIds.stream()
+        .filter(runs::containsKey)
+        .forEach(id -> violations.add(id + " was rejected as not run, and has run"));
+    long lateCrashes =
+        crashTimes.size() < CRASHES_TO_DETECT
+            ? 0
+            : crashTimes.stream()
+                .filter(t -> t - crashTimes.get(CRASHES_TO_DETECT - 1) > STABILITY_NANOS)
+                .count();
+    assertTrue(
+        lateCrashes <= MAX_LATE_REQUESTS,
+        "seed " + seed + ": " + lateCrashes + " of " + crashTimes.size() + " crashes late");
+    assertEquals(List.of(), violations, "seed " + seed);
+  }
+}
