--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
@@ -76,6 +76,7 @@
     private final String id;
     private final ReplicaStandin standin;
     private final List<Long> pauses = new CopyOnWriteArrayList<>();
+    private volatile boolean pausing;
     private volatile long leavingSince;
 
     private Engine(String id, ReplicaStandin standin) {
@@ -228,12 +229,17 @@
   }
 
   private void pause(Engine engine) {
+    if (engine.pausing) {
+      return;
+    }
+    engine.pausing = true;
     engine.pauses.add(System.nanoTime());
     engine.standin.rejectWithBackoff("1");
     inBackground(
         () -> {
           sleep(1_000);
           engine.standin.rejectWithBackoff("");
+          engine.pausing = false;
         });
   }
 
