--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
@@ -327,8 +327,8 @@
 
   /**
    * Returns whether the store was away or has returned a short time ago. The users' pages count a
-   * replica as gone only for instances that reach a stable store, and an instance that has started
-   * since does not know what the copy lacks.
+   * replica as removed only for instances that reach a stable store, and an instance that has
+   * started since does not know what the copy lacks.
    */
   private boolean isCoreUnstable(long time) {
     return outages.stream()
