--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -102,6 +102,11 @@
     }
   }
 
+  /** Returns the name of the instance that chose the replica of a request, "-" if none did. */
+  String placerOf(String requestId) {
+    return placerOfRequest.getOrDefault(requestId, "-");
+  }
+
   private Optional<UpstreamReplica> place(String service, EnginePlacer.EngineRequest request) {
     if (promptParts.findBlocked(request.sharedParts()).isPresent()) {
       return Optional.empty();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ReplicaAnnouncements.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ReplicaAnnouncements.java
@@ -1,5 +1,7 @@
 package org.arbutusspar.entry.gateway;
 
+import java.util.Map;
+import org.arbutusspar.core.BoundedMaps;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.io.EventLog;
@@ -14,9 +16,15 @@
  */
 final class ReplicaAnnouncements {
 
+  private static final int MAX_REPLICAS = 8_192;
+
   private final ReplicaRegistry replicas;
   private final EventLoop loop;
   private final EventLog log;
+
+  /** Last stated limit on the request rate, by incarnation of the replica. */
+  private final Map<String, Double> limits = BoundedMaps.droppingOldest(MAX_REPLICAS);
+
   private Runnable onReplicasChanged = () -> {};
 
   private ReplicaAnnouncements(ReplicaRegistry replicas, EventLoop loop, EventLog log) {
@@ -59,9 +67,20 @@
               replicas.onBackoff(replica, millis, loop.now());
               log.write("replica-backoff", "replica", replica.id(), "millis", millis);
             });
+    signals
+        .rejectedLimit()
+        .ifPresent(value -> log.write("limit-rejected", "replica", replica.id(), "value", value));
+    signals.limitPerSecond().ifPresent(limit -> onLimit(replica, limit));
     if (signals.leaving() && replicas.onLeaving(replica)) {
       log.write("replica-leaving", "replica", replica.id(), "service", replica.service());
       onReplicasChanged.run();
     }
   }
+
+  private void onLimit(UpstreamReplica replica, double perSecond) {
+    Double previous = limits.put(replica.incarnation(), perSecond);
+    if (previous == null || previous != perSecond) {
+      log.write("replica-limit", "replica", replica.id(), "per_second", perSecond);
+    }
+  }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -296,6 +296,8 @@
             triedReplicas.size(),
             "left_ms",
             remainingMillis(),
+            "placer",
+            isModelEngine() ? context.engines().placerOf(request.id()) : "-",
             "parts",
             isModelEngine() ? request.sharedParts() : List.of());
     attempt =
