Keep the limits that replicas state for all instances together

What callers and replicas saw: a replica that had stated a limit of 1.7 requests a second got as many as any other.

Cause: no instance read the field, and where the choice is made by each instance alone (services without stages or engines) no reading of it by one instance could have kept a bound on the sum. The class of fault: a bound that counts what all instances do together, in a system in which instances decide alone.

Fix: the instance that chooses replicas of a service for all others gives one permit for each request or call, at the rate of the limit: the placer for engines, the batcher for pieces. Services that are neither are placed by a placer while one of their replicas states a limit. Limits travel over the links as they change, and to each peer that connects, so an instance that got a statement has passed it on before it asks for a placement. An instance that does not hold the role gives no permits; the parts of a partitioned deployment use their shares. Releases and memory queries count too. A limit ends with a response to a later request that states none.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -57,11 +57,25 @@
   private final Map<String, EngineReplica> engines = new LinkedHashMap<>();
   private final Map<String, PlacedRequest> placed = new LinkedHashMap<>();
 
-  private EnginePlacer() {}
+  private final SendPermits permits;
 
-  /** Returns a placer without replicas. */
+  private EnginePlacer(SendPermits permits) {
+    this.permits = permits;
+  }
+
+  /** Returns a placer without replicas that needs no permits. */
   public static EnginePlacer create() {
-    return new EnginePlacer();
+    return create(SendPermits.UNLIMITED);
+  }
+
+  /**
+   * Returns a placer without replicas.
+   *
+   * @param permits permits of which one is taken for each placed request, not null
+   * @return the placer
+   */
+  public static EnginePlacer create(SendPermits permits) {
+    return new EnginePlacer(Objects.requireNonNull(permits, "permits"));
   }
 
   /**
@@ -97,6 +111,7 @@
     Optional<EngineReplica> best =
         candidates.stream()
             .filter(engine -> engine.inFlight < MAX_SLOT_SHARE * engine.replica.slots())
+            .filter(engine -> permits.isAvailable(engine.replica, now))
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
@@ -126,6 +141,7 @@
 
   private void recordPlacement(EngineRequest request, EngineReplica engine, long now) {
     long unreadTokens = engine.tokensToRead(request);
+    permits.take(engine.replica, now);
     engine.inFlight++;
     engine.unreadTokens += unreadTokens;
     engine.addPromptKey(request.promptKey());
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceBatcher.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/PieceBatcher.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.placement.SendPermits;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.PieceLimits;
 
@@ -84,6 +85,7 @@
 
   private final String service;
   private final PieceOrder order;
+  private final SendPermits permits;
   private final Map<PieceId, Piece> queue = new LinkedHashMap<>();
   private final Map<String, StageWorker> workers = new LinkedHashMap<>();
   private final Map<Long, PieceCall> calls = new HashMap<>();
@@ -98,26 +100,35 @@
   /** Mean number of pieces per call, over calls after which pieces remained in the queue. */
   private double meanCallSize;
 
-  private PieceBatcher(String service, PieceLimits limits, PieceOrder order) {
+  private PieceBatcher(String service, PieceLimits limits, PieceOrder order, SendPermits permits) {
     this.service = service;
     this.limits = limits;
     this.order = order;
+    this.permits = permits;
     this.meanCallSize = limits.maxBatchSize();
   }
 
+  /** Returns a batcher without pieces and replicas that needs no permits for its calls. */
+  public static PieceBatcher create(String service, PieceLimits limits, PieceOrder order) {
+    return create(service, limits, order, SendPermits.UNLIMITED);
+  }
+
   /**
    * Returns a batcher without pieces and replicas.
    *
    * @param service name of the service, not null
    * @param limits limits of each replica, not null
    * @param order order of queued pieces, not null
+   * @param permits permits of which one is taken for each call, not null
    * @return the batcher
    */
-  public static PieceBatcher create(String service, PieceLimits limits, PieceOrder order) {
+  public static PieceBatcher create(
+      String service, PieceLimits limits, PieceOrder order, SendPermits permits) {
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(limits, "limits");
     Objects.requireNonNull(order, "order");
-    return new PieceBatcher(service, limits, order);
+    Objects.requireNonNull(permits, "permits");
+    return new PieceBatcher(service, limits, order, permits);
   }
 
   /** Returns the name of the service. */
@@ -285,7 +296,9 @@
         workers.values().stream()
             .filter(
                 worker ->
-                    worker.hasFreeSlot(limits.slots(), now) && !shouldWaitForFaster(worker, now))
+                    worker.hasFreeSlot(limits.slots(), now)
+                        && permits.isAvailable(worker.replica(), now)
+                        && !shouldWaitForFaster(worker, now))
             .sorted(Comparator.comparingDouble((StageWorker worker) -> worker.timeRatio()))
             .toList();
     List<List<Piece>> groups = freeWorkers.isEmpty() ? List.of() : groups(now);
@@ -301,7 +314,7 @@
   /** Returns whether a replica is slow and the faster ones can take the queue in one call each. */
   private boolean shouldWaitForFaster(StageWorker worker, long now) {
     List<StageWorker> callableWorkers =
-        workers.values().stream().filter(w -> w.isCallable(now)).toList();
+        workers.values().stream().filter(w -> isCallable(w, now)).toList();
     double minTimeRatio =
         callableWorkers.stream().mapToDouble(StageWorker::timeRatio).min().orElse(1);
     long fasterReplicas =
@@ -401,7 +414,11 @@
     return urgent
         || fillsCall
         || workers.values().stream()
-            .noneMatch(w -> w.isCallable(now) && isInPreferredDataCentre(piece, w));
+            .noneMatch(w -> isCallable(w, now) && isInPreferredDataCentre(piece, w));
+  }
+
+  private boolean isCallable(StageWorker worker, long now) {
+    return worker.isCallable(now) && permits.isAvailable(worker.replica(), now);
   }
 
   private PieceCall startCall(StageWorker worker, List<Piece> pieces, long now) {
@@ -412,6 +429,7 @@
     if (!queue.isEmpty()) {
       meanCallSize += CALL_SIZE_SMOOTHING * (pieces.size() - meanCallSize);
     }
+    permits.take(worker.replica(), now);
     worker.callStarted(bytes(pieces));
     calls.put(call.number(), call);
     return call;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -10,14 +10,17 @@
 import org.arbutusspar.core.placement.CrashingPartDetector;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ReplicaRegistry;
+import org.arbutusspar.core.placement.SendPermits;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.io.link.PeerMessage;
 
 /**
- * Chooses replicas of model engines for requests. For each service, one instance, the placer,
- * chooses for the requests of all instances, so that it knows the load of each replica. If the
- * placer is unreachable or does not respond in time, this instance chooses instead. The placer also
- * finds prompt parts that crash engines, and chooses no replica for a request with a blocked part.
+ * Chooses replicas of model engines for requests, and of other services while one of their replicas
+ * limits its request rate. For each service, one instance, the placer, chooses for the requests of
+ * all instances, so that it knows the load of each replica. If the placer is unreachable or does
+ * not respond in time, this instance chooses instead, from replicas without a limit. The placer
+ * also finds prompt parts that crash engines, and chooses no replica for a request with a blocked
+ * part.
  *
  * <p>Not thread-safe: all methods run on the event loop.
  */
@@ -32,6 +35,7 @@
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
+  private final SendPermits permits;
   private final EventLoop loop;
   private final PromptPartGuard promptParts;
   private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
@@ -46,15 +50,22 @@
       PeerTable peers,
       PeerNetwork peerNetwork,
       ReplicaRegistry replicas,
+      SendPermits permits,
       EventLoop loop,
       PromptPartGuard promptParts) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
+    this.permits = permits;
     this.loop = loop;
     this.promptParts = promptParts;
   }
 
+  /** Returns the name of the role of the placer of a service. */
+  static String role(String service) {
+    return ROLE_PREFIX + service;
+  }
+
   /** Returns the names of the placer roles that this instance holds. */
   Set<String> activeRoles() {
     return activeRoles.roles(loop.now());
@@ -78,12 +89,12 @@
       String service,
       EnginePlacer.EngineRequest request,
       Consumer<Optional<UpstreamReplica>> found) {
-    String placerName = peers.roleHolder(ROLE_PREFIX + service, loop.now());
+    String placerName = peers.roleHolder(role(service), loop.now());
     boolean sent =
         !placerName.equals(peers.self().name())
             && peerNetwork.send(placerName, new PeerMessage.PlaceRequest(service, request));
     if (!sent) {
-      activeRoles.markUsed(ROLE_PREFIX + service, loop.now());
+      activeRoles.markUsed(role(service), loop.now());
       placerOfRequest.put(request.id(), peers.self().name());
       found.accept(place(service, request));
       return;
@@ -125,7 +136,7 @@
     return placers.computeIfAbsent(
         service,
         name -> {
-          EnginePlacer placer = EnginePlacer.create();
+          EnginePlacer placer = EnginePlacer.create(permits);
           placer.replicas(replicas.notLeaving(name));
           return placer;
         });
@@ -183,7 +194,7 @@
    */
   void onMessage(String name, PeerMessage message) {
     if (message instanceof PeerMessage.PlaceRequest place) {
-      activeRoles.markUsed(ROLE_PREFIX + place.service(), loop.now());
+      activeRoles.markUsed(role(place.service()), loop.now());
       Optional<UpstreamReplica> replica = place(place.service(), place.request());
       String replicaId = replica.map(UpstreamReplica::id).orElse("");
       peerNetwork.send(name, new PeerMessage.PlaceResponse(place.request().id(), replicaId));
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.arbutusspar.core.peer.SharedTable;
 import org.arbutusspar.core.peer.StorePosition;
 import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.ServingState;
@@ -111,6 +112,7 @@
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
+  private final ReplicaRateLimits rateLimits;
   private final ReplicaAnnouncements announcements;
   private final PromptPartGuard promptParts;
   private final EnginePlacement engines;
@@ -154,18 +156,22 @@
     peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
     replicas = ReplicaRegistry.create();
-    announcements = ReplicaAnnouncements.create(replicas, loop, log);
+    rateLimits = ReplicaRateLimits.create(this::decisionShare);
+    announcements = ReplicaAnnouncements.create(replicas, rateLimits, peerNetwork, loop, log);
     announcements.onReplicasChanged(this::onAvailableReplicasChanged);
     verdictPublisher = PromptPartPublisher.create(peerNetwork, store, loop, log);
     promptParts = PromptPartGuard.create(System::currentTimeMillis, log, verdictPublisher);
-    engines = new EnginePlacement(peers, peerNetwork, replicas, loop, promptParts);
-    pieces = new PieceDispatcher(peers, peerNetwork, replicas, announcements, client, loop, log);
+    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, promptParts);
+    pieces =
+        new PieceDispatcher(
+            peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
     pieces.onQueueWaitsChanged(this::scheduleStatusUpdate);
     context =
         RequestContext.create(
             loop,
             client,
             replicas,
+            rateLimits,
             announcements,
             engines,
             promptParts,
@@ -438,6 +444,19 @@
     }
   }
 
+  /**
+   * Returns the share of all known instances for whose requests this one chooses replicas of a
+   * service, 0 if another instance holds that role.
+   */
+  private double decisionShare(String service, long now) {
+    boolean hasPieces = state != null && state.pieceLimits(service).isPresent();
+    String role = hasPieces ? service : EnginePlacement.role(service);
+    if (!peers.roleHolder(role, now).equals(peers.self().name())) {
+      return 0;
+    }
+    return (double) peers.liveCount(now) / (peers.all().size() + 1);
+  }
+
   /** Copies the state of the loop for gauges, which are read by other threads. */
   private void updateSnapshot() {
     Map<String, Integer> waits = new HashMap<>();
@@ -585,6 +604,7 @@
       if (message instanceof PeerMessage.PartVerdict part) {
         promptParts.learn(part.verdict(), name);
       }
+      announcements.onMessage(name, message);
       tables.onMessage(name, message);
       engines.onMessage(name, message);
       pieces.onMessage(name, message);
@@ -595,6 +615,11 @@
       tables.onHeartbeat(name);
     }
 
+    @Override
+    public void onUp(String name) {
+      announcements.onUp(name);
+    }
+
     @Override
     public void onDown(String name) {
       tables.updateRole();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
@@ -167,6 +167,14 @@
     }
   }
 
+  /**
+   * Returns whether instances are connected to this one that have no connection to each other, so
+   * that it passes on what they announce.
+   */
+  boolean isRelay() {
+    return reportsStates(loop.now());
+  }
+
   /**
    * Returns whether other instances have selected this one as a hub: it has more connections than
    * it needs itself. From then on it reports for as long as it runs, since the receivers keep the
@@ -294,6 +302,7 @@
     connections.put(peer.name(), connection);
     table.onHeartbeat(peer.name(), PeerStatus.UNKNOWN, loop.now());
     log.write("fellow-up", "fellow", peer.name(), "incarnation", peer.incarnation());
+    listener.onUp(peer.name());
   }
 
   private void onHeartbeat(String name, PeerStatus status) {
@@ -342,6 +351,13 @@
      */
     void onHeartbeat(String name);
 
+    /**
+     * Called when a peer has connected and messages can be sent to it.
+     *
+     * @param name name of the peer
+     */
+    void onUp(String name);
+
     /**
      * Called when the connection to a peer has been closed.
      *
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
@@ -12,6 +12,7 @@
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.peer.ActiveRoles;
 import org.arbutusspar.core.peer.PeerTable;
+import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.PieceLimits;
@@ -55,10 +56,10 @@
   private static final long RELEASE_DELAY_MILLIS = 60;
 
   /**
-   * Interval at which releases to a replica that wants no requests are tried again, in
+   * Interval at which releases to a replica that wants no requests now are tried again, in
    * milliseconds.
    */
-  private static final long BACKOFF_CHECK_INTERVAL_MILLIS = 500;
+  private static final long RELEASE_CHECK_INTERVAL_MILLIS = 200;
 
   /** Interval of queue checks while pieces are queued here, in milliseconds. */
   private static final long QUEUE_CHECK_INTERVAL_MILLIS = 100;
@@ -78,6 +79,8 @@
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
+  private final ReplicaRateLimits rateLimits;
+  private final DeferredReleases releases;
   private final ReplicaAnnouncements announcements;
   private final RawClient client;
   private final EventLoop loop;
@@ -110,6 +113,7 @@
       PeerTable peers,
       PeerNetwork peerNetwork,
       ReplicaRegistry replicas,
+      ReplicaRateLimits rateLimits,
       ReplicaAnnouncements announcements,
       RawClient client,
       EventLoop loop,
@@ -117,6 +121,8 @@
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
+    this.rateLimits = rateLimits;
+    this.releases = DeferredReleases.create(replicas, rateLimits);
     this.announcements = announcements;
     this.client = client;
     this.loop = loop;
@@ -241,24 +247,33 @@
 
   private void sendReleases() {
     releaseScheduled = false;
-    List<PieceCalls.ReleaseCall> releases = PieceCalls.releaseCalls(handlesToRelease);
+    List<PieceCalls.ReleaseCall> calls = PieceCalls.releaseCalls(handlesToRelease);
     handlesToRelease.clear();
-    for (PieceCalls.ReleaseCall release : releases) {
-      Optional<UpstreamReplica> replica = replicas.findAt(release.call().endpoint());
-      if (replica.filter(r -> replicas.isBackingOff(r, loop.now())).isPresent()) {
-        loop.after(BACKOFF_CHECK_INTERVAL_MILLIS, () -> scheduleRelease(release.handles()));
-        continue;
-      }
+    calls.forEach(this::sendRelease);
+  }
+
+  private void sendRelease(PieceCalls.ReleaseCall release) {
+    DeferredReleases.Decision decision = releases.decide(release.call().endpoint(), loop.now());
+    if (decision == DeferredReleases.Decision.SEND) {
       client
           .fetch("release", release.call())
           .whenComplete((reply, failure) -> loop.post(() -> onReleased(release, reply, failure)));
+    } else if (decision == DeferredReleases.Decision.DEFER) {
+      loop.after(RELEASE_CHECK_INTERVAL_MILLIS, () -> scheduleRelease(release.handles()));
+    } else {
+      log.write(
+          "release-dropped",
+          "replica",
+          release.call().endpoint(),
+          "results",
+          release.handles().size());
     }
   }
 
   private void onReleased(PieceCalls.ReleaseCall release, RawReply reply, Throwable failure) {
     replicas
         .findAt(release.call().endpoint())
-        .ifPresent(replica -> applyAnnouncements(replica, reply));
+        .ifPresent(replica -> applyAnnouncements(replica, reply, OptionalLong.empty()));
     if (failure != null) {
       log.write(
           "release-failed",
@@ -276,8 +291,12 @@
     }
   }
 
-  /** Applies what a replica announces in a response, null if there is none. */
-  private void applyAnnouncements(UpstreamReplica replica, RawReply reply) {
+  /**
+   * Applies what a replica announces in a response, null if there is none.
+   *
+   * @param sentAt see {@link ReplicaAnnouncements#apply}
+   */
+  private void applyAnnouncements(UpstreamReplica replica, RawReply reply, OptionalLong sentAt) {
     if (reply == null) {
       return;
     }
@@ -288,7 +307,7 @@
           .backoffMillis()
           .ifPresent(millis -> batcher.backOff(replica.id(), millis, loop.now()));
     }
-    announcements.apply(replica, signals);
+    announcements.apply(replica, signals, sentAt);
   }
 
   /** Returns the expected queue wait of a new piece, by name of each service batched here. */
@@ -407,7 +426,7 @@
     }
     PieceBatcher batcher = batchers.get(service);
     if (batcher == null) {
-      batcher = PieceBatcher.create(service, limits.get(), UrgencyOrder.create());
+      batcher = PieceBatcher.create(service, limits.get(), UrgencyOrder.create(), releases);
       batcher.replicas(replicas.notLeaving(service));
       batchers.put(service, batcher);
     }
@@ -445,7 +464,7 @@
 
   private void queryMemory(PieceBatcher batcher) {
     for (UpstreamReplica replica : replicas.notLeaving(batcher.service())) {
-      if (replicas.isBackingOff(replica, loop.now())) {
+      if (replicas.isBackingOff(replica, loop.now()) || rateLimits.isLimited(replica)) {
         continue;
       }
       client
@@ -456,7 +475,7 @@
   }
 
   private void onMemoryReport(PieceBatcher batcher, UpstreamReplica replica, RawReply reply) {
-    applyAnnouncements(replica, reply);
+    applyAnnouncements(replica, reply, OptionalLong.empty());
     OptionalLong free = reply == null ? OptionalLong.empty() : PieceCalls.freeBytes(reply);
     log.write(
         "room",
@@ -570,7 +589,10 @@
           "error",
           failure == null ? "status " + reply.status() : failure.getMessage());
     }
-    applyAnnouncements(call.replica(), reply);
+    applyAnnouncements(
+        call.replica(),
+        reply,
+        responses.isPresent() ? OptionalLong.of(call.startedAt()) : OptionalLong.empty());
     reportOutcomes(call.pieces(), completion.outcomes());
     if (!completion.toRelease().isEmpty()) {
       release(completion.toRelease());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -9,6 +9,7 @@
 import org.arbutusspar.core.placement.LeastLoadPlacement;
 import org.arbutusspar.core.placement.Placement;
 import org.arbutusspar.core.placement.PromptAffinityPlacement;
+import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.WindowedRetryBudget;
 import org.arbutusspar.core.stage.ClientRetryDetector;
@@ -25,6 +26,7 @@
  * @param loop event loop on which requests are decided
  * @param client sends requests to replicas
  * @param replicas the listed replicas and their load
+ * @param rateLimits limits on the request rate that replicas have stated
  * @param announcements applies what replicas announce about themselves
  * @param engines places requests at replicas of model engines
  * @param promptParts blocks requests whose prompts crash model engines
@@ -41,6 +43,7 @@
     EventLoop loop,
     RawClient client,
     ReplicaRegistry replicas,
+    ReplicaRateLimits rateLimits,
     ReplicaAnnouncements announcements,
     EnginePlacement engines,
     PromptPartGuard promptParts,
@@ -60,6 +63,7 @@
       EventLoop loop,
       RawClient client,
       ReplicaRegistry replicas,
+      ReplicaRateLimits rateLimits,
       ReplicaAnnouncements announcements,
       EnginePlacement engines,
       PromptPartGuard promptParts,
@@ -72,6 +76,7 @@
         loop,
         client,
         replicas,
+        rateLimits,
         announcements,
         engines,
         promptParts,
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -68,6 +69,9 @@
    */
   private static final double MIN_RETRY_AFTER_FRACTION = 0.5;
 
+  /** Request rate in requests a second that bounds the Retry-After of a replica's limit. */
+  private static final double MIN_RATE = 0.05;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final RequestContext context;
@@ -213,7 +217,7 @@
       failBlocked(blocked.get());
       return;
     }
-    if (isModelEngine()) {
+    if (isModelEngine() || context.rateLimits().isAnyLimited(notLeaving())) {
       context.engines().find(service, engineRequest(), this::sendOrFail);
     } else {
       sendOrFail(chooseReplica());
@@ -255,7 +259,7 @@
       // The request ended before a replica was chosen, so it must not count as in flight there.
       context.engines().report(service, request.id(), PeerMessage.RunState.ENDED);
     } else if (replica.isEmpty()) {
-      fail("no-replica");
+      failWithoutReplica();
     } else if (!context.replicas().mayReceive(replica.get(), context.loop().now())) {
       // The replica was chosen elsewhere before its announcement was known there.
       dispatch();
@@ -297,7 +301,7 @@
             "left_ms",
             remainingMillis(),
             "placer",
-            isModelEngine() ? context.engines().placerOf(request.id()) : "-",
+            context.engines().placerOf(request.id()),
             "parts",
             isModelEngine() ? request.sharedParts() : List.of());
     attempt =
@@ -400,7 +404,7 @@
   }
 
   private boolean hasUntriedReplica() {
-    return context.replicas().notLeaving(service).stream()
+    return notLeaving().stream()
         .anyMatch(
             replica ->
                 !triedReplicas.contains(replica.id())
@@ -445,6 +449,25 @@
     respondAndEnd(mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason);
   }
 
+  /**
+   * Ends a request for which there is no replica. If all replicas limit their request rate, the
+   * client returns no sooner than they take another request.
+   */
+  private void failWithoutReplica() {
+    OptionalDouble perSecond = context.rateLimits().totalPerSecond(notLeaving());
+    if (perSecond.isEmpty()) {
+      fail("no-replica");
+      return;
+    }
+    double seconds = Math.max(retryAfterSeconds(), 1 / Math.max(MIN_RATE, perSecond.getAsDouble()));
+    respondAndEnd(
+        mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, "rate-limit", formatSeconds(seconds));
+  }
+
+  private List<UpstreamReplica> notLeaving() {
+    return context.replicas().notLeaving(service);
+  }
+
   /** Ends a request with a blocked part; the client may return when the block ends. */
   private void failBlocked(PromptPartVerdict verdict) {
     double seconds = context.promptParts().remainingMillis(verdict) / MILLIS_PER_SECOND;
@@ -453,7 +476,7 @@
   }
 
   private void respondAndEnd(int status, String reason) {
-    respondAndEnd(status, reason, retryAfter());
+    respondAndEnd(status, reason, formatSeconds(retryAfterSeconds()));
   }
 
   private void respondAndEnd(int status, String reason, String retryAfter) {
@@ -466,16 +489,14 @@
   }
 
   /**
-   * Returns the value of the Retry-After field in seconds: a fraction of the remaining time, spread
-   * by the hash of the request's identifier. The maximum is never below 50 ms.
+   * Returns the time after which the client should return, in seconds: a fraction of the remaining
+   * time, spread by the hash of the request's identifier. The maximum is never below 50 ms.
    */
-  private String retryAfter() {
+  private double retryAfterSeconds() {
     double maxSeconds =
         Math.max(0.05, remainingMillis() / MILLIS_PER_SECOND * MAX_RETRY_AFTER_SHARE);
     double fraction = (Rendezvous.hash(request.id()) >>> 11) * 0x1.0p-53;
-    double seconds =
-        maxSeconds * (MIN_RETRY_AFTER_FRACTION + (1 - MIN_RETRY_AFTER_FRACTION) * fraction);
-    return formatSeconds(seconds);
+    return maxSeconds * (MIN_RETRY_AFTER_FRACTION + (1 - MIN_RETRY_AFTER_FRACTION) * fraction);
   }
 
   private static String formatSeconds(double seconds) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.commons.lang3.Strings;
 import org.arbutusspar.core.Nanos;
@@ -18,7 +19,6 @@
 import org.arbutusspar.io.http.RawListener;
 import org.arbutusspar.io.http.RawReply;
 import org.arbutusspar.platform.ClientRequest;
-import org.arbutusspar.platform.ReplicaSignals;
 import org.arbutusspar.platform.UpstreamResponse;
 
 /**
@@ -174,15 +174,16 @@
     if (streamed && !cancelled && exchange.startResponse(header.status(), header.fields())) {
       forwarding = true;
     }
-    if (!header.signals().equals(ReplicaSignals.NONE)) {
-      context.loop().post(() -> context.announcements().apply(replica, header.signals()));
-    }
     long now = context.loop().now();
+    context.loop().post(() -> applyHeader(header, now));
+  }
+
+  private void applyHeader(UpstreamResponse header, long receivedAt) {
+    OptionalLong sentAt = header.valid() ? OptionalLong.of(startedAt) : OptionalLong.empty();
+    context.announcements().apply(replica, header.signals(), sentAt);
     header
         .runningAndWaiting()
-        .ifPresent(
-            inFlight ->
-                context.loop().post(() -> context.replicas().onReport(replica, inFlight, now)));
+        .ifPresent(inFlight -> context.replicas().onReport(replica, inFlight, receivedAt));
   }
 
   @Override
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
@@ -18,6 +19,7 @@
 import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PromptPartVerdict;
+import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -32,8 +34,8 @@
  * Encodes {@link PeerMessage}s in MessagePack: the type number of the message, then its fields in
  * order.
  *
- * <p>The clocks of instances are not synchronized. The encoder therefore writes times of pieces as
- * offsets from its own current time, and the decoder adds them to its own current time.
+ * <p>The clocks of instances are not synchronized. The encoder therefore writes times of pieces and
+ * limits as offsets from its own current time, and the decoder adds them to its own current time.
  */
 public final class PeerCodec {
 
@@ -50,6 +52,10 @@
   private static final int PLACEMENT_UPDATE = 11;
   private static final int STATES = 12;
   private static final int PART_VERDICT = 13;
+  private static final int RATE_LIMITS = 14;
+
+  /** Written for a replica that no longer states a limit. */
+  private static final double NO_LIMIT = -1;
 
   /** Maximum number of entries of an encoded list or map. */
   private static final int MAX_ITEMS = 100_000;
@@ -112,6 +118,12 @@
         packer.packInt(PART_VERDICT).packString(part.verdict().part());
         packer.packLong(part.verdict().decidedMillis());
         packer.packLong(part.verdict().blockedUntilMillis());
+      } else if (message instanceof PeerMessage.RateLimits limits) {
+        packer.packInt(RATE_LIMITS).packArrayHeader(limits.limits().size());
+        for (StatedLimit limit : limits.limits()) {
+          packer.packString(limit.incarnation()).packLong(now - limit.statedAt());
+          packer.packDouble(limit.perSecond().orElse(NO_LIMIT));
+        }
       } else if (message instanceof PeerMessage.TableRequest request) {
         packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
         packer.packLong(request.since());
@@ -158,6 +170,7 @@
             new PeerMessage.PartVerdict(
                 new PromptPartVerdict(
                     unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong()));
+        case RATE_LIMITS -> new PeerMessage.RateLimits(list(unpacker, u -> statedLimit(u, now)));
         case TABLE_REQUEST ->
             new PeerMessage.TableRequest(
                 enumConstant(TableName.values(), unpacker), unpacker.unpackLong());
@@ -170,6 +183,16 @@
     }
   }
 
+  private static StatedLimit statedLimit(MessageUnpacker unpacker, long now) throws IOException {
+    String incarnation = unpacker.unpackString();
+    long statedAt = now - unpacker.unpackLong();
+    double perSecond = unpacker.unpackDouble();
+    return new StatedLimit(
+        incarnation,
+        perSecond >= 0 ? OptionalDouble.of(perSecond) : OptionalDouble.empty(),
+        statedAt);
+  }
+
   private static void packPeer(MessageBufferPacker packer, Peer peer) throws IOException {
     packer.packString(peer.name()).packLong(peer.incarnation());
     packer.packString(peer.dataCentre().value());
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PromptPartVerdict;
+import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceOutcome;
 
@@ -116,6 +117,14 @@
    */
   record PartVerdict(PromptPartVerdict verdict) implements PeerMessage {}
 
+  /**
+   * Passes on limits on the request rate that replicas have stated, or the end of such limits. On
+   * the wire, their times are relative to the time of sending.
+   *
+   * @param limits the limits that have changed; all that are in force in the first message
+   */
+  record RateLimits(List<StatedLimit> limits) implements PeerMessage {}
+
   /** State of a placed request. Sent as its ordinal. */
   enum RunState {
     /** The replica has started to send its response. */
