Let engines state limits in the run of overlapping faults

Engines state limits of 0.5 to 20 requests a second from up to 4 s after the start until the end of the run. Drawn from a random generator of their own, so that the other faults of a seed stay the same. Checked by the users' rule; a restart excuses an instance.

--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
@@ -31,8 +31,8 @@
 /**
  * Runs three instances under load while faults overlap in random order: instances that stop or are
  * closed and start again, a store that returns from a copy, engines that announce their shutdown or
- * a pause, prompts that crash engines, and withdrawn keys. More seeds: -Dsoak.first=1
- * -Dsoak.seeds=50
+ * a pause or state a limit on their request rate, prompts that crash engines, and withdrawn keys.
+ * More seeds: -Dsoak.first=1 -Dsoak.seeds=50
  */
 class OverlappingFaultsSoakTest extends GatewayRig {
 
@@ -52,6 +52,8 @@
   private static final long PAUSE_NANOS = 1_000_000_000L;
   private static final int CRASHES_TO_DETECT = 5;
   private static final int MAX_LATE_REQUESTS = 3;
+  private static final int MAX_LIMIT_DELAY_MILLIS = 4_000;
+  private static final List<Double> LIMITS_PER_SECOND = List.of(0.5, 1.0, 1.7, 5.0, 20.0);
 
   private final List<Engine> engines = new CopyOnWriteArrayList<>();
   private final List<Engine> formerEngines = new CopyOnWriteArrayList<>();
@@ -78,6 +80,7 @@
     private final List<Long> pauses = new CopyOnWriteArrayList<>();
     private volatile boolean pausing;
     private volatile long leavingSince;
+    private volatile double limitPerSecond;
 
     private Engine(String id, ReplicaStandin standin) {
       this.id = id;
@@ -111,9 +114,18 @@
     }
     threads.add(new Thread(this::writeHeartbeatsUntilStopped));
     threads.forEach(Thread::start);
-    long end = System.nanoTime() + RUN_MILLIS * 1_000_000;
+    long start = System.nanoTime();
+    // Limits have draws of their own, so that the other faults of a seed stay the same.
+    Random limitRandom = new Random(~(long) seed);
+    long limitDelay = limitRandom.nextInt(MAX_LIMIT_DELAY_MILLIS) * 1_000_000L;
+    boolean limited = false;
+    long end = start + RUN_MILLIS * 1_000_000;
     while (System.nanoTime() - end < 0) {
       injectFault();
+      if (!limited && System.nanoTime() - start > limitDelay) {
+        limited = true;
+        limitEngines(limitRandom);
+      }
       sleep(200 + random.nextInt(500));
     }
     await(() -> instances.values().stream().allMatch(i -> isReady(i) && isServed(i)), 15_000);
@@ -180,6 +192,17 @@
         : Optional.of(current.get(random.nextInt(current.size())));
   }
 
+  /** Makes one engine, or several, state a limit until the end of the run. */
+  private void limitEngines(Random limitRandom) {
+    for (Engine each : engines) {
+      if (limitRandom.nextBoolean()) {
+        double perSecond = LIMITS_PER_SECOND.get(limitRandom.nextInt(LIMITS_PER_SECOND.size()));
+        each.limitPerSecond = perSecond;
+        each.standin.stateLimit(String.valueOf(perSecond));
+      }
+    }
+  }
+
   private void restartInstance() throws Exception {
     if (returning) {
       // An instance that starts before the operator has written again has no memory.
@@ -192,6 +215,9 @@
       former.gateway().await();
     }
     former.gateway().close();
+    // A restart excuses the instance from limits that it knew before.
+    String address = former.settings().ipAddress();
+    engines.forEach(each -> each.standin.limitStatedNanos().remove(address));
     instances.put(number, start(number));
   }
 
@@ -325,6 +351,16 @@
     }
   }
 
+  private void checkLimit(Engine engine) {
+    if (engine.limitPerSecond > 0) {
+      int most = RateLimitRule.mostInWindow(engine.standin);
+      double allowed = RateLimitRule.allowed(engine.limitPerSecond);
+      if (most > allowed) {
+        violations.add(engine.id + " got " + most + " requests in 4 s, allowed " + allowed);
+      }
+    }
+  }
+
   /**
    * Returns whether the store was away or has returned a short time ago. The users' pages count a
    * replica as removed only for instances that reach a stable store, and an instance that has
@@ -356,6 +392,7 @@
         violations.add(each.id + " got " + late + " requests after it had left");
       }
       each.pauses.forEach(start -> checkPause(each, start));
+      checkLimit(each);
     }
     rejectedIds.stream()
         .filter(runs::containsKey)
