Explain rejections because of limits that replicas state

rate-limited names the service and the sum of the limits, explain states the cause, and arbutusspar_limited_replicas counts the replicas. ExplainTest has a request of this kind.

--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/RequestCause.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/RequestCause.java
@@ -79,6 +79,15 @@
               admission.get().field("wait_ms"),
               admission.get().field("left_ms"));
     }
+    Optional<LogLine> limited = trace.lastEvent("rate-limited");
+    if (reason.equals("rate-limit") && limited.isPresent()) {
+      return ("Rejected after %s ms, not run: all replicas of service %s limit their request rate,"
+              + " to %s a second in total, for all instances together.")
+          .formatted(
+              outcome.field("ms"),
+              limited.get().field("service"),
+              limited.get().field("per_second"));
+    }
     if (reason.startsWith("stage-")) {
       return "Admitted, then rejected after %s ms, not run: %s; %s."
           .formatted(
--- a/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/ExplainTest.java
+++ b/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/ExplainTest.java
@@ -54,6 +54,11 @@
         explain("q-cut").contains("instance e-1 terminated or lost power after event request"));
   }
 
+  @Test
+  void requestRejectedByLimitsOfAllReplicas() throws IOException {
+    assertTrue(explain("q-limit").contains("limit their request rate, to 3.5 a second in total"));
+  }
+
   @Test
   void requestRejectedBeforeAdmission() throws IOException {
     assertTrue(explain("q-key").contains("Rejected with 401"));
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -269,6 +269,10 @@
         "arbutusspar_blocked_prompt_parts",
         "Prompt parts that crashed model engines, whose requests are rejected",
         () -> snapshot.blockedPromptParts());
+    metrics.gauge(
+        "arbutusspar_limited_replicas",
+        "Replicas that limit the rate of the requests of all instances together",
+        () -> snapshot.limitedReplicas());
     metrics.gauge(
         "arbutusspar_ready",
         "1 if the instance takes requests of clients",
@@ -469,7 +473,8 @@
             peers.liveCount(loop.now()),
             pieces.waitingPieces(),
             context.retriesLeft(),
-            promptParts.blockedCount());
+            promptParts.blockedCount(),
+            rateLimits.inForce().size());
   }
 
   /** Updates the own status, and sends it at once if the instance became ready or leaving. */
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -459,6 +459,16 @@
       fail("no-replica");
       return;
     }
+    context
+        .log()
+        .write(
+            "rate-limited",
+            "id",
+            request.id(),
+            "service",
+            service,
+            "per_second",
+            perSecond.getAsDouble());
     double seconds = Math.max(retryAfterSeconds(), 1 / Math.max(MIN_RATE, perSecond.getAsDouble()));
     respondAndEnd(
         mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, "rate-limit", formatSeconds(seconds));
