--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
@@ -39,6 +39,7 @@
   private static final long RUN_MILLIS = 12_000;
   private static final int INSTANCES = 3;
   private static final int ENGINES = 4;
+  private static final int PLAIN_REPLICAS = 2;
   private static final long RESTART_MILLIS = 400;
   private static final String CRASHING_PART = "bad";
   private static final int FIRST_VERSION = 2;
@@ -68,6 +69,11 @@
   /** Start and end of each outage of the store. */
   private final List<long[]> outages = new CopyOnWriteArrayList<>();
 
+  private final List<ReplicaStandin> plainReplicas = new ArrayList<>();
+
+  /** Replicas that state a limit, in requests a second. */
+  private final Map<ReplicaStandin, Double> limitsPerSecond = new ConcurrentHashMap<>();
+
   private volatile int version = FIRST_VERSION;
   private volatile boolean returning;
   private volatile boolean stopped;
@@ -80,7 +86,6 @@
     private final List<Long> pauses = new CopyOnWriteArrayList<>();
     private volatile boolean pausing;
     private volatile long leavingSince;
-    private volatile double limitPerSecond;
 
     private Engine(String id, ReplicaStandin standin) {
       this.id = id;
@@ -105,6 +110,10 @@
     for (int i = 0; i < ENGINES; i++) {
       startEngine();
     }
+    for (int i = 0; i < PLAIN_REPLICAS; i++) {
+      plainReplicas.add(
+          closeAfterTest(ReplicaStandin.start("p-" + i, freeEndpoint(FIRST_ADDRESS))));
+    }
     store.putReplica("i-1", "");
     await(() -> instances.values().stream().allMatch(i -> isServed(i)), 15_000);
     List<Thread> threads = new ArrayList<>();
@@ -112,10 +121,14 @@
       Random clientRandom = new Random(seed * 100L + i);
       threads.add(new Thread(() -> sendUntilStopped(clientRandom)));
     }
+    // Draws of their own, so that the other faults and requests of a seed stay the same.
+    for (int i = 1; i <= 6; i++) {
+      Random clientRandom = new Random(-seed * 100L - i);
+      threads.add(new Thread(() -> sendPlainUntilStopped(clientRandom)));
+    }
     threads.add(new Thread(this::writeHeartbeatsUntilStopped));
     threads.forEach(Thread::start);
     long start = System.nanoTime();
-    // Limits have draws of their own, so that the other faults of a seed stay the same.
     Random limitRandom = new Random(~(long) seed);
     long limitDelay = limitRandom.nextInt(MAX_LIMIT_DELAY_MILLIS) * 1_000_000L;
     boolean limited = false;
@@ -124,7 +137,7 @@
       injectFault();
       if (!limited && System.nanoTime() - start > limitDelay) {
         limited = true;
-        limitEngines(limitRandom);
+        limitReplicas(limitRandom);
       }
       sleep(200 + random.nextInt(500));
     }
@@ -192,15 +205,18 @@
         : Optional.of(current.get(random.nextInt(current.size())));
   }
 
-  /** Makes one engine, or several, state a limit until the end of the run. */
-  private void limitEngines(Random limitRandom) {
-    for (Engine each : engines) {
-      if (limitRandom.nextBoolean()) {
-        double perSecond = LIMITS_PER_SECOND.get(limitRandom.nextInt(LIMITS_PER_SECOND.size()));
-        each.limitPerSecond = perSecond;
-        each.standin.stateLimit(String.valueOf(perSecond));
-      }
-    }
+  /** Makes some engines and a plain replica state a limit until the end of the run. */
+  private void limitReplicas(Random limitRandom) {
+    limit(plainReplicas.get(0), limitRandom);
+    engines.stream()
+        .filter(each -> limitRandom.nextBoolean())
+        .forEach(each -> limit(each.standin, limitRandom));
+  }
+
+  private void limit(ReplicaStandin standin, Random limitRandom) {
+    double perSecond = LIMITS_PER_SECOND.get(limitRandom.nextInt(LIMITS_PER_SECOND.size()));
+    limitsPerSecond.put(standin, perSecond);
+    standin.stateLimit(String.valueOf(perSecond));
   }
 
   private void restartInstance() throws Exception {
@@ -217,7 +233,7 @@
     former.gateway().close();
     // A restart excuses the instance from limits that it knew before.
     String address = former.settings().ipAddress();
-    engines.forEach(each -> each.standin.limitStatedNanos().remove(address));
+    limitsPerSecond.keySet().forEach(standin -> standin.limitStatedNanos().remove(address));
     instances.put(number, start(number));
   }
 
@@ -291,6 +307,9 @@
       engines.forEach(
           e -> store.putReplica(e.id, e.standin.listEntry(SampleTraffic.ENGINE, false)));
       formerEngines.forEach(e -> store.putReplica(e.id, ""));
+      for (int i = 0; i < PLAIN_REPLICAS; i++) {
+        store.putReplica("p-" + i, plainReplicas.get(i).listEntry(SampleTraffic.PLAIN, false));
+      }
       sleep(300);
     }
   }
@@ -307,6 +326,14 @@
     }
   }
 
+  private void sendPlainUntilStopped(Random clientRandom) {
+    while (!stopped) {
+      Instance instance = instances.get(clientRandom.nextInt(INSTANCES));
+      request(instance, "/b/x", "good" + sent.get() % 9, version);
+      sleep(clientRandom.nextInt(100));
+    }
+  }
+
   private boolean isServed(Instance instance) {
     return request(instance, "/p/x", "good", version) == 200;
   }
@@ -351,13 +378,11 @@
     }
   }
 
-  private void checkLimit(Engine engine) {
-    if (engine.limitPerSecond > 0) {
-      int most = RateLimitRule.mostInWindow(engine.standin);
-      double allowed = RateLimitRule.allowed(engine.limitPerSecond);
-      if (most > allowed) {
-        violations.add(engine.id + " got " + most + " requests in 4 s, allowed " + allowed);
-      }
+  private void checkLimit(ReplicaStandin standin, double perSecond) {
+    int most = RateLimitRule.mostInWindow(standin);
+    double allowed = RateLimitRule.allowed(perSecond);
+    if (most > allowed) {
+      violations.add(most + " requests in 4 s to a limited replica, allowed " + allowed);
     }
   }
 
@@ -392,8 +417,8 @@
         violations.add(each.id + " got " + late + " requests after it had left");
       }
       each.pauses.forEach(start -> checkPause(each, start));
-      checkLimit(each);
     }
+    limitsPerSecond.forEach(this::checkLimit);
     rejectedIds.stream()
         .filter(runs::containsKey)
         .forEach(id -> violations.add(id + " was rejected as not run, and has run"));
