--- a/arbutusspar-bench/src/main/java/org/arbutusspar/bench/ColdInstance.java
+++ b/arbutusspar-bench/src/main/java/org/arbutusspar/bench/ColdInstance.java
@@ -70,25 +70,17 @@
   }
 
   private static String settings(Endpoint store) {
-    return """
-    node_name=e-0
-    ip=%s
-    zone=a
-    listen.frontend=%s
-    listen.readiness=%s
-    listen.directory=%s:%d
-    internal_port_range=%d,%d
-    platform.address=%s
-    """
-        .formatted(
-            ADDRESS,
-            CLIENTS,
-            READINESS,
-            ADDRESS,
-            DIRECTORY_PORT,
-            FIRST_LINK_PORT,
-            FIRST_LINK_PORT + LINK_PORTS,
-            store);
+    return String.join(
+        "\n",
+        "node_name=e-0",
+        "ip=" + ADDRESS,
+        "zone=a",
+        "listen.frontend=" + CLIENTS,
+        "listen.readiness=" + READINESS,
+        "listen.directory=" + ADDRESS + ":" + DIRECTORY_PORT,
+        "internal_port_range=" + FIRST_LINK_PORT + "," + (FIRST_LINK_PORT + LINK_PORTS),
+        "platform.address=" + store,
+        "");
   }
 
   /**
