--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -23,6 +24,7 @@
 import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PromptPartVerdict;
+import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -60,9 +62,23 @@
     assertEquals(message, PeerCodec.decode(PeerCodec.encode(message, 100), 100));
   }
 
+  /** The clocks of instances differ, so the age of a limit is sent. */
+  @Test
+  void timeOfLimitIsThatOfTheReceiversClock() throws IOException {
+    StatedLimit sent = new StatedLimit("r@1", OptionalDouble.of(2), 70);
+    byte[] frame = PeerCodec.encode(new PeerMessage.RateLimits(List.of(sent)), 100);
+    StatedLimit received = new StatedLimit("r@1", OptionalDouble.of(2), 4_970);
+    assertEquals(new PeerMessage.RateLimits(List.of(received)), PeerCodec.decode(frame, 5_000));
+  }
+
   @Test
   void everyMessageSurvivesRoundTrip() throws IOException {
     assertRoundTrip(new PeerMessage.PartVerdict(new PromptPartVerdict("ab12", 17, 600_017)));
+    assertRoundTrip(
+        new PeerMessage.RateLimits(
+            List.of(
+                new StatedLimit("r@1", OptionalDouble.of(1.7), 40),
+                new StatedLimit("r@2", OptionalDouble.empty(), 100))));
     assertRoundTrip(
         new PeerMessage.PlaceRequest(
             "s",
