--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -15,6 +15,7 @@
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PlacementRequest;
 import org.arbutusspar.core.placement.PromptPartVerdict;
+import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.RetryRules;
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
@@ -87,6 +88,7 @@
   /** Service chosen from those of the route by the hash of the request's identifier. */
   private final String service;
 
+  private final RequestIdentity identity;
   private final Set<String> triedReplicas = new HashSet<>();
   private Optional<StageRun> stageRun = Optional.empty();
   private List<StageResult> stageResults = List.of();
@@ -103,6 +105,9 @@
   private boolean ended;
   private UpstreamAttempt attempt;
 
+  /** Replica of the last attempt; null before the first one. */
+  private UpstreamReplica attemptReplica;
+
   /** Ends the request before its deadline; null until the request is started. */
   private EventLoop.Timer timer;
 
@@ -126,6 +131,9 @@
     this.exchange = exchange;
     this.arrivedAt = arrivedAt;
     this.service = route.service(Rendezvous.hash(request.id()));
+    this.identity =
+        RequestIdentity.of(
+            request.host(), request.target(), keyOwner.map(KeyOwner::workspace).orElse(""), body);
     long clientTimeoutMillis = request.clientTimeoutMillis().orElse(DEFAULT_CLIENT_TIMEOUT_MILLIS);
     this.deadline =
         arrivedAt + Nanos.ofMillis(Math.min(clientTimeoutMillis, route.timeoutMillis()));
@@ -284,6 +292,7 @@
 
   private void send(UpstreamReplica replica) {
     triedReplicas.add(replica.id());
+    attemptReplica = replica;
     OptionalInt enginePriority =
         isModelEngine()
             ? OptionalInt.of(Math.min(MAX_ENGINE_PRIORITY, priority()))
@@ -352,6 +361,7 @@
   @Override
   public void onResponseBroken(String reason) {
     context.engines().report(service, request.id(), PeerMessage.RunState.CRASHED);
+    logBroken();
     exchange.abort(reason);
     end("broken", reason);
   }
@@ -363,6 +373,9 @@
       return;
     }
     context.engines().report(service, request.id(), runStateAfter(verdict));
+    if (verdict == SendVerdict.UNKNOWN) {
+      logBroken();
+    }
     mayHaveRun |= verdict == SendVerdict.FAILED || verdict == SendVerdict.UNKNOWN;
     boolean retry =
         RetryRules.mayRetry(route, verdict, sentAttempts)
@@ -392,6 +405,20 @@
     }
   }
 
+  /** Logs which request broke off at which replica; repeated requests have the same subject. */
+  private void logBroken() {
+    context
+        .log()
+        .write(
+            "request-broken",
+            "id",
+            request.id(),
+            "subject",
+            identity.subject(),
+            "replica",
+            attemptReplica.incarnation());
+  }
+
   /**
    * Returns the state to report to the placer. A replica that rejected the request or reported a
    * failure did respond, so the placer does not count this end as a failure of the replica.
