Stop requests that crash each replica which runs them, at all instances

Cause: a break was held against the replica alone, by the instance that saw it. Nothing knew the request again when it came to another instance, and the detection of prompt parts covers engines only, and parts that requests share.

Now a request has an identity of path, caller and body. Each instance passes the breaks that it sees to all others, so that all hold the whole evidence and come to the same decision 0.2 s later, whatever the order of the reports; none is needed for it. A request that broke off three replicas, one of them after another, with no complete response, is blocked for ten minutes, like a crashing prompt part: rejected before its stages with the time until the block ends. Requests beside it are not blamed, nor are any if replicas fail at one moment or reset each connection.

Decisions are named for what they now hold: PromptPartVerdict becomes BlockDecision, with a subject, PromptPartGuard becomes BlockList, PromptPartPublisher BlockPublisher; the message and the stored record keep their form. Parts whose identifier has a slash are no longer read, as the subjects of requests have one. CrashingPromptPartTest gives each prompt its own body, since requests with one body are the same request now.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -37,7 +37,7 @@
   private final ReplicaRegistry replicas;
   private final SendPermits permits;
   private final EventLoop loop;
-  private final PromptPartGuard promptParts;
+  private final BlockList blocks;
   private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
   private final Map<String, EnginePlacer> placers = new HashMap<>();
   private final ActiveRoles activeRoles = ActiveRoles.create();
@@ -52,13 +52,13 @@
       ReplicaRegistry replicas,
       SendPermits permits,
       EventLoop loop,
-      PromptPartGuard promptParts) {
+      BlockList blocks) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
     this.permits = permits;
     this.loop = loop;
-    this.promptParts = promptParts;
+    this.blocks = blocks;
   }
 
   /** Returns the name of the role of the placer of a service. */
@@ -119,7 +119,7 @@
   }
 
   private Optional<UpstreamReplica> place(String service, EnginePlacer.EngineRequest request) {
-    if (promptParts.findBlocked(request.sharedParts()).isPresent()) {
+    if (blocks.findBlocked(request.sharedParts()).isPresent()) {
       return Optional.empty();
     }
     Optional<UpstreamReplica> replica = placer(service).place(request, loop.now());
@@ -173,7 +173,9 @@
       placer(service).onEnded(requestId, !failed, loop.now());
     }
     CrashingPartDetector detector = detector(service);
-    promptParts.onFindings(findings(detector, requestId, state), detector);
+    CrashingPartDetector.Findings findings = findings(detector, requestId, state);
+    findings.crashing().forEach(part -> blocks.block(part, detector.crashedReplicas(part)));
+    findings.cleared().forEach(blocks::permit);
   }
 
   private CrashingPartDetector.Findings findings(
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -114,13 +114,14 @@
   private final ReplicaRegistry replicas;
   private final ReplicaRateLimits rateLimits;
   private final ReplicaAnnouncements announcements;
-  private final PromptPartGuard promptParts;
+  private final BlockList blocks;
+  private final CrashingRequestGuard crashes;
   private final EnginePlacement engines;
   private final PieceDispatcher pieces;
   private final RequestContext context;
   private final ClientHandler clients;
   private final StoreTables tables;
-  private final PromptPartPublisher verdictPublisher;
+  private final BlockPublisher blockPublisher;
   private boolean statusUpdateScheduled;
 
   /** Whether the announcement of this instance has been stored, as far as is known. */
@@ -159,9 +160,10 @@
     rateLimits = ReplicaRateLimits.create(this::decisionShare);
     announcements = ReplicaAnnouncements.create(replicas, rateLimits, peerNetwork, loop, log);
     announcements.onReplicasChanged(this::onAvailableReplicasChanged);
-    verdictPublisher = PromptPartPublisher.create(peerNetwork, store, loop, log);
-    promptParts = PromptPartGuard.create(System::currentTimeMillis, log, verdictPublisher);
-    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, promptParts);
+    blockPublisher = BlockPublisher.create(peerNetwork, store, loop, log);
+    blocks = BlockList.create(System::currentTimeMillis, log, blockPublisher);
+    crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
+    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, blocks);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -174,7 +176,8 @@
             rateLimits,
             announcements,
             engines,
-            promptParts,
+            blocks,
+            crashes,
             pieces,
             peers,
             settings.bounds(),
@@ -430,7 +433,7 @@
       consumer.table().values().forEach(this::discover);
     }
     announceAgainIfLost(consumer.table());
-    verdictPublisher.publishLost(consumer.table());
+    blockPublisher.publishLost(consumer.table());
     onTableRead(changed);
   }
 
@@ -440,8 +443,8 @@
       PeerMessage message = PeerCodec.decode(value, 0);
       if (message instanceof PeerMessage.Hello hello) {
         peerNetwork.discover(hello.self());
-      } else if (message instanceof PeerMessage.PartVerdict part) {
-        promptParts.learn(part.verdict(), "store");
+      } else if (message instanceof PeerMessage.Block block) {
+        blocks.learn(block.decision(), "store");
       }
     } catch (IOException e) {
       log.write("instance-malformed", "key", name, "error", e.getMessage());
@@ -473,7 +476,7 @@
             peers.liveCount(loop.now()),
             pieces.waitingPieces(),
             context.retriesLeft(),
-            promptParts.blockedCount(),
+            blocks.blockedCount(),
             rateLimits.inForce().size());
   }
 
@@ -606,9 +609,10 @@
   private final class PeerEvents implements PeerNetwork.Listener {
     @Override
     public void onMessage(String name, PeerMessage message) {
-      if (message instanceof PeerMessage.PartVerdict part) {
-        promptParts.learn(part.verdict(), name);
+      if (message instanceof PeerMessage.Block block) {
+        blocks.learn(block.decision(), name);
       }
+      crashes.onMessage(message);
       announcements.onMessage(name, message);
       tables.onMessage(name, message);
       engines.onMessage(name, message);
@@ -623,6 +627,7 @@
     @Override
     public void onUp(String name) {
       announcements.onUp(name);
+      crashes.onUp(name);
     }
 
     @Override
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/InstanceRules.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/InstanceRules.java
@@ -35,7 +35,7 @@
       if (message instanceof PeerMessage.Hello hello) {
         return hello.self().incarnation();
       }
-      return message instanceof PeerMessage.PartVerdict part ? part.verdict().decidedMillis() : -1;
+      return message instanceof PeerMessage.Block block ? block.decision().decidedMillis() : -1;
     } catch (IOException e) {
       return -1;
     }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -29,7 +29,8 @@
  * @param rateLimits limits on the request rate that replicas have stated
  * @param announcements applies what replicas announce about themselves
  * @param engines places requests at replicas of model engines
- * @param promptParts blocks requests whose prompts crash model engines
+ * @param blocks blocks requests whose content crashes replicas
+ * @param crashes keeps requests that crash replicas from being sent on
  * @param pieces dispatches the pieces of stages to their batchers
  * @param peers this instance and its peers
  * @param bounds time limits and retry budget settings
@@ -46,7 +47,8 @@
     ReplicaRateLimits rateLimits,
     ReplicaAnnouncements announcements,
     EnginePlacement engines,
-    PromptPartGuard promptParts,
+    BlockList blocks,
+    CrashingRequestGuard crashes,
     PieceDispatcher pieces,
     PeerTable peers,
     PlatformSettings.Bounds bounds,
@@ -66,7 +68,8 @@
       ReplicaRateLimits rateLimits,
       ReplicaAnnouncements announcements,
       EnginePlacement engines,
-      PromptPartGuard promptParts,
+      BlockList blocks,
+      CrashingRequestGuard crashes,
       PieceDispatcher pieces,
       PeerTable peers,
       PlatformSettings.Bounds bounds,
@@ -79,7 +82,8 @@
         rateLimits,
         announcements,
         engines,
-        promptParts,
+        blocks,
+        crashes,
         pieces,
         peers,
         bounds,
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -12,9 +12,9 @@
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Rendezvous;
+import org.arbutusspar.core.placement.BlockDecision;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.PlacementRequest;
-import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.RetryRules;
 import org.arbutusspar.core.placement.SendVerdict;
@@ -75,6 +75,12 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /**
+   * Time after the start of a response in milliseconds from which a crash of its replica is not
+   * attributed to the request.
+   */
+  private static final long START_PHASE_MILLIS = 2_000;
+
   private final RequestContext context;
   private final ClientRequest request;
   private final Route route;
@@ -108,6 +114,12 @@
   /** Replica of the last attempt; null before the first one. */
   private UpstreamReplica attemptReplica;
 
+  /** Time of the start of the last attempt. */
+  private long sentAt;
+
+  /** Time of the first byte of the response's body; empty before it. */
+  private OptionalLong responseStartedAt = OptionalLong.empty();
+
   /** Ends the request before its deadline; null until the request is started. */
   private EventLoop.Timer timer;
 
@@ -172,7 +184,7 @@
             remainingMillis(),
             "stages",
             request.pieceCounts());
-    Optional<PromptPartVerdict> blocked = blockedPart();
+    Optional<BlockDecision> blocked = findBlocked();
     if (blocked.isPresent()) {
       failBlocked(blocked.get());
     } else if (isBackoffPastDeadline()) {
@@ -208,11 +220,12 @@
     fail("stage-" + reason);
   }
 
-  /** Returns the decision that blocks a part of the prompt, if the request needs an engine. */
-  private Optional<PromptPartVerdict> blockedPart() {
-    return isModelEngine()
-        ? context.promptParts().findBlocked(request.sharedParts())
-        : Optional.empty();
+  /** Returns the decision that blocks the request, or for an engine a part of its prompt. */
+  private Optional<BlockDecision> findBlocked() {
+    Optional<BlockDecision> blocked = context.crashes().findBlocked(identity);
+    return blocked.isEmpty() && isModelEngine()
+        ? context.blocks().findBlocked(request.sharedParts())
+        : blocked;
   }
 
   private void dispatch() {
@@ -220,7 +233,7 @@
       fail("no-time");
       return;
     }
-    Optional<PromptPartVerdict> blocked = blockedPart();
+    Optional<BlockDecision> blocked = findBlocked();
     if (blocked.isPresent()) {
       failBlocked(blocked.get());
       return;
@@ -293,6 +306,7 @@
   private void send(UpstreamReplica replica) {
     triedReplicas.add(replica.id());
     attemptReplica = replica;
+    sentAt = context.loop().now();
     OptionalInt enginePriority =
         isModelEngine()
             ? OptionalInt.of(Math.min(MAX_ENGINE_PRIORITY, priority()))
@@ -341,6 +355,7 @@
 
   @Override
   public void onResponseStarted(int status) {
+    responseStartedAt = OptionalLong.of(context.loop().now());
     context
         .metrics()
         .onResponseStarted(
@@ -355,13 +370,16 @@
   @Override
   public void onResponseForwarded(int status) {
     context.engines().report(service, request.id(), PeerMessage.RunState.COMPLETED);
+    context.crashes().onCompleted(identity, attemptReplica, sentAt);
     end("answered", "status-" + status);
   }
 
   @Override
   public void onResponseBroken(String reason) {
     context.engines().report(service, request.id(), PeerMessage.RunState.CRASHED);
-    logBroken();
+    if (!isPastStart()) {
+      context.crashes().onBroken(request.id(), identity, attemptReplica, sentAt);
+    }
     exchange.abort(reason);
     end("broken", reason);
   }
@@ -373,9 +391,7 @@
       return;
     }
     context.engines().report(service, request.id(), runStateAfter(verdict));
-    if (verdict == SendVerdict.UNKNOWN) {
-      logBroken();
-    }
+    reportToGuard(verdict);
     mayHaveRun |= verdict == SendVerdict.FAILED || verdict == SendVerdict.UNKNOWN;
     boolean retry =
         RetryRules.mayRetry(route, verdict, sentAttempts)
@@ -405,18 +421,22 @@
     }
   }
 
-  /** Logs which request broke off at which replica; repeated requests have the same subject. */
-  private void logBroken() {
-    context
-        .log()
-        .write(
-            "request-broken",
-            "id",
-            request.id(),
-            "subject",
-            identity.subject(),
-            "replica",
-            attemptReplica.incarnation());
+  /** Returns whether the response has been in progress for too long to have caused a crash. */
+  private boolean isPastStart() {
+    return responseStartedAt.isPresent()
+        && context.loop().now() - responseStartedAt.getAsLong()
+            > Nanos.ofMillis(START_PHASE_MILLIS);
+  }
+
+  private void reportToGuard(SendVerdict verdict) {
+    switch (verdict) {
+      case UNKNOWN -> context.crashes().onBroken(request.id(), identity, attemptReplica, sentAt);
+      case FAILED -> context.crashes().onCompleted(identity, attemptReplica, sentAt);
+      case NOT_RUN -> context.crashes().onRejected(attemptReplica, sentAt);
+      default -> {
+        // The request did not reach the replica.
+      }
+    }
   }
 
   /**
@@ -505,11 +525,14 @@
     return context.replicas().notLeaving(service);
   }
 
-  /** Ends a request with a blocked part; the client may return when the block ends. */
-  private void failBlocked(PromptPartVerdict verdict) {
-    double seconds = context.promptParts().remainingMillis(verdict) / MILLIS_PER_SECOND;
+  /** Ends a blocked request; the client may return when the block ends. */
+  private void failBlocked(BlockDecision decision) {
+    double seconds = context.blocks().remainingMillis(decision) / MILLIS_PER_SECOND;
+    boolean wholeRequest = decision.subject().startsWith(RequestIdentity.SUBJECT_PREFIX);
     respondAndEnd(
-        mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, "crashing-part", formatSeconds(seconds));
+        mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE,
+        wholeRequest ? "crashing-request" : "crashing-part",
+        formatSeconds(seconds));
   }
 
   private void respondAndEnd(int status, String reason) {
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/RowRulesTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/RowRulesTest.java
@@ -9,7 +9,7 @@
 import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.RowRules;
-import org.arbutusspar.core.placement.PromptPartVerdict;
+import org.arbutusspar.core.placement.BlockDecision;
 import org.arbutusspar.io.link.PeerCodec;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.standin.ReplicaStandin;
@@ -38,9 +38,9 @@
     return PeerCodec.encode(new PeerMessage.Hello(peer, List.of()), 0);
   }
 
-  private static byte[] verdict(long decidedMillis) {
-    PromptPartVerdict verdict = PromptPartVerdict.blocked("p", decidedMillis, 1_000);
-    return PeerCodec.encode(new PeerMessage.PartVerdict(verdict), 0);
+  private static byte[] decision(long decidedMillis) {
+    BlockDecision decision = BlockDecision.blocked("p", decidedMillis, 1_000);
+    return PeerCodec.encode(new PeerMessage.Block(decision), 0);
   }
 
   private static void assertOrder(RowRules rules, byte[] older, byte[] newer) {
@@ -57,6 +57,6 @@
     assertOrder(new ReplicaRules(), replica(false, 1), replica(true, 1));
     assertOrder(new ReplicaRules(), replica(true, 1), replica(false, 2));
     assertOrder(new InstanceRules(), announcement(7), announcement(8));
-    assertOrder(new InstanceRules(), verdict(7), verdict(8));
+    assertOrder(new InstanceRules(), decision(7), decision(8));
   }
 }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -17,8 +17,9 @@
 import org.arbutusspar.core.peer.TableCopy;
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.peer.TableVersion;
+import org.arbutusspar.core.placement.BlockDecision;
+import org.arbutusspar.core.placement.CrashReport;
 import org.arbutusspar.core.placement.EnginePlacer;
-import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
@@ -34,8 +35,9 @@
  * Encodes {@link PeerMessage}s in MessagePack: the type number of the message, then its fields in
  * order.
  *
- * <p>The clocks of instances are not synchronized. The encoder therefore writes times of pieces and
- * limits as offsets from its own current time, and the decoder adds them to its own current time.
+ * <p>The clocks of instances are not synchronized. The encoder therefore writes times of pieces,
+ * limits and crashes as offsets from its own current time, and the decoder adds them to its own
+ * current time.
  */
 public final class PeerCodec {
 
@@ -51,8 +53,9 @@
   private static final int PLACE_RESPONSE = 10;
   private static final int PLACEMENT_UPDATE = 11;
   private static final int STATES = 12;
-  private static final int PART_VERDICT = 13;
+  private static final int BLOCK = 13;
   private static final int RATE_LIMITS = 14;
+  private static final int CRASH_EVIDENCE = 15;
 
   /** Written for a replica that no longer states a limit. */
   private static final double NO_LIMIT = -1;
@@ -114,16 +117,24 @@
       } else if (message instanceof PeerMessage.PlacementUpdate update) {
         packer.packInt(PLACEMENT_UPDATE).packString(update.service());
         packer.packString(update.requestId()).packInt(update.state().ordinal());
-      } else if (message instanceof PeerMessage.PartVerdict part) {
-        packer.packInt(PART_VERDICT).packString(part.verdict().part());
-        packer.packLong(part.verdict().decidedMillis());
-        packer.packLong(part.verdict().blockedUntilMillis());
+      } else if (message instanceof PeerMessage.Block block) {
+        packer.packInt(BLOCK).packString(block.decision().subject());
+        packer.packLong(block.decision().decidedMillis());
+        packer.packLong(block.decision().blockedUntilMillis());
       } else if (message instanceof PeerMessage.RateLimits limits) {
         packer.packInt(RATE_LIMITS).packArrayHeader(limits.limits().size());
         for (StatedLimit limit : limits.limits()) {
           packer.packString(limit.incarnation()).packLong(now - limit.statedAt());
           packer.packDouble(limit.perSecond().orElse(NO_LIMIT));
         }
+      } else if (message instanceof PeerMessage.CrashEvidence evidence) {
+        packer.packInt(CRASH_EVIDENCE).packArrayHeader(evidence.reports().size());
+        for (CrashReport report : evidence.reports()) {
+          packer.packString(report.subject()).packString(report.incarnation());
+          packer.packLong(now - report.sentAt()).packLong(now - report.brokenAt());
+        }
+        packStrings(packer, evidence.completed());
+        packStrings(packer, evidence.reached());
       } else if (message instanceof PeerMessage.TableRequest request) {
         packer.packInt(TABLE_REQUEST).packInt(request.table().ordinal());
         packer.packLong(request.since());
@@ -166,11 +177,16 @@
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 enumConstant(PeerMessage.RunState.values(), unpacker));
-        case PART_VERDICT ->
-            new PeerMessage.PartVerdict(
-                new PromptPartVerdict(
+        case BLOCK ->
+            new PeerMessage.Block(
+                new BlockDecision(
                     unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong()));
         case RATE_LIMITS -> new PeerMessage.RateLimits(list(unpacker, u -> statedLimit(u, now)));
+        case CRASH_EVIDENCE ->
+            new PeerMessage.CrashEvidence(
+                list(unpacker, u -> crashReport(u, now)),
+                list(unpacker, MessageUnpacker::unpackString),
+                list(unpacker, MessageUnpacker::unpackString));
         case TABLE_REQUEST ->
             new PeerMessage.TableRequest(
                 enumConstant(TableName.values(), unpacker), unpacker.unpackLong());
@@ -193,6 +209,14 @@
         statedAt);
   }
 
+  private static CrashReport crashReport(MessageUnpacker unpacker, long now) throws IOException {
+    return new CrashReport(
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        now - unpacker.unpackLong(),
+        now - unpacker.unpackLong());
+  }
+
   private static void packPeer(MessageBufferPacker packer, Peer peer) throws IOException {
     packer.packString(peer.name()).packLong(peer.incarnation());
     packer.packString(peer.dataCentre().value());
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -6,8 +6,9 @@
 import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.TableCopy;
 import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.placement.BlockDecision;
+import org.arbutusspar.core.placement.CrashReport;
 import org.arbutusspar.core.placement.EnginePlacer;
-import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -111,11 +112,12 @@
   record PlacementUpdate(String service, String requestId, RunState state) implements PeerMessage {}
 
   /**
-   * Passes on a decision on a prompt part. Also the form in which the decision is stored.
+   * Passes on a decision to block or permit requests. Also the form in which the decision is
+   * stored.
    *
-   * @param verdict the decision
+   * @param decision the decision
    */
-  record PartVerdict(PromptPartVerdict verdict) implements PeerMessage {}
+  record Block(BlockDecision decision) implements PeerMessage {}
 
   /**
    * Passes on limits on the request rate that replicas have stated, or the end of such limits. On
@@ -125,6 +127,17 @@
    */
   record RateLimits(List<StatedLimit> limits) implements PeerMessage {}
 
+  /**
+   * Passes on what is known of requests that may crash replicas. On the wire, times are relative to
+   * the time of sending.
+   *
+   * @param reports breaks of connections under requests
+   * @param completed subjects of requests that had crashes and have had a complete response since
+   * @param reached incarnations of replicas that responded after a supposed crash
+   */
+  record CrashEvidence(List<CrashReport> reports, List<String> completed, List<String> reached)
+      implements PeerMessage {}
+
   /** State of a placed request. Sent as its ordinal. */
   enum RunState {
     /** The replica has started to send its response. */
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -22,8 +22,9 @@
 import org.arbutusspar.core.peer.TableCopy;
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.peer.TableVersion;
+import org.arbutusspar.core.placement.BlockDecision;
+import org.arbutusspar.core.placement.CrashReport;
 import org.arbutusspar.core.placement.EnginePlacer;
-import org.arbutusspar.core.placement.PromptPartVerdict;
 import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
@@ -73,7 +74,12 @@
 
   @Test
   void everyMessageSurvivesRoundTrip() throws IOException {
-    assertRoundTrip(new PeerMessage.PartVerdict(new PromptPartVerdict("ab12", 17, 600_017)));
+    assertRoundTrip(
+        new PeerMessage.CrashEvidence(
+            List.of(new CrashReport("request/1f-2e", "i-1/7", -400, 80)),
+            List.of("request/3d-4c"),
+            List.of("i-2/8")));
+    assertRoundTrip(new PeerMessage.Block(new BlockDecision("ab12", 17, 600_017)));
     assertRoundTrip(
         new PeerMessage.RateLimits(
             List.of(
