Do not blame the prompt parts of one repeated request for its crashes

A part that a repeated request shares with few others was found to be crashing after three to five crashes of that request, and then all requests with the part were rejected for ten minutes.

The placer now learns which request broke off, and crashes under one request alone do not blame its parts; a crash under another request with the part does.

CrashingPartDetectorTest.partOfOneRepeatedRequestIsNotBlamed, with the new rule disabled: expected [] but was [rare].

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
@@ -29,6 +29,7 @@
  *       they have in common.
  *   <li>A replica that starts a response soon after its supposed crash, or breaks off another one,
  *       has not crashed.
+ *   <li>Crashes under one repeated request are the request's: they say nothing about its parts.
  *   <li>A crash under a crashing part is not held against the other parts in flight there.
  *   <li>Of several parts that have only been in requests together, the last one in the prompt is
  *       blamed, and later than a part alone: the fewest requests share it.
@@ -162,10 +163,11 @@
    * response was complete.
    *
    * @param requestId identifier of the request, not null
+   * @param subject subject of the request, the same for repeated requests, not null
    * @param now current time
    * @return what is known newly, and the crashing parts of the request that were known before
    */
-  public Findings onBroken(String requestId, long now) {
+  public Findings onBroken(String requestId, String subject, long now) {
     PlacedRequest request = requests.remove(requestId);
     if (request == null || request.isPastStart(now)) {
       return Findings.NONE;
@@ -182,7 +184,7 @@
         suspects.put(part, suspect);
       }
       if (suspect != null && (suspect.crashing || !explained)) {
-        suspect.addCrash(request, now);
+        suspect.addCrash(request, subject, now);
       }
     }
     Set<String> crashing = new HashSet<>();
@@ -228,7 +230,11 @@
 
   private int crashes(String part) {
     Suspect suspect = suspects.get(part);
-    return suspect == null ? 0 : suspect.crashes.size();
+    if (suspect == null) {
+      return 0;
+    }
+    int crashes = suspect.crashes.size();
+    return suspect.isOneRequest() ? Math.min(crashes, CRASHES_OF_NEW_PART - 1) : crashes;
   }
 
   /**
@@ -302,16 +308,21 @@
   }
 
   /** Crash of a replica under a request, at the time at which it was known here. */
-  private record Crash(String replica, long at) {}
+  private record Crash(String replica, String subject, long at) {}
 
   /** Crashes in sequence that a part was involved in, the last ones. */
   private static final class Suspect {
     private final Deque<Crash> crashes = new ArrayDeque<>();
     private boolean crashing;
 
-    private void addCrash(PlacedRequest request, long now) {
+    /** Returns whether all crashes were under the same repeated request. */
+    private boolean isOneRequest() {
+      return crashes.stream().map(Crash::subject).distinct().count() == 1;
+    }
+
+    private void addCrash(PlacedRequest request, String subject, long now) {
       if (crashes.isEmpty() || request.placedAt - crashes.getLast().at() > 0) {
-        crashes.addLast(new Crash(request.replica, now));
+        crashes.addLast(new Crash(request.replica, subject, now));
         if (crashes.size() > CRASHES_OF_SOUND_PART) {
           crashes.removeFirst();
         }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/CrashingPartDetectorTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/CrashingPartDetectorTest.java
@@ -38,7 +38,11 @@
   }
 
   private Set<String> crash(String replica, double millis, String... parts) {
-    return detector.onBroken(place(replica, millis, parts), at(millis + 50)).crashing();
+    return crash(replica, "request/" + requests, millis, parts);
+  }
+
+  private Set<String> crash(String replica, String subject, double millis, String[] parts) {
+    return detector.onBroken(place(replica, millis, parts), subject, at(millis + 50)).crashing();
   }
 
   private Set<String> complete(String replica, double millis, String... parts) {
@@ -57,6 +61,16 @@
     assertEquals(3, detector.crashedReplicas("bad").size());
   }
 
+  /** Requests that share a part with a repeated request that crashes engines were rejected. */
+  @Test
+  void partOfOneRepeatedRequestIsNotBlamed() {
+    String[] parts = {"shared", "rare"};
+    for (int i = 0; i < 10; i++) {
+      assertEquals(NONE, crash("r" + i, "request/1-1", i * 1_000, parts));
+    }
+    assertEquals(Set.of("rare"), crash("r10", "request/2-2", 10_000, parts));
+  }
+
   /** A power loss of all engines would block the parts that all of their requests share. */
   @Test
   void replicasThatCrashTogetherCountOnce() {
@@ -64,7 +78,8 @@
     for (int i = 0; i < 9; i++) {
       ids.add(place("r" + i, i, "first"));
     }
-    ids.forEach(id -> assertEquals(NONE, detector.onBroken(id, at(100)).crashing()));
+    ids.forEach(
+        id -> assertEquals(NONE, detector.onBroken(id, "request/" + id, at(100)).crashing()));
     assertEquals(1, detector.crashedReplicas("first").size());
   }
 
@@ -117,7 +132,7 @@
   void crashLongAfterStartOfResponseIsNotAttributed() {
     String id = place("r1", 0, "x");
     detector.onResponseStarted(id, at(100));
-    assertEquals(NONE, detector.onBroken(id, at(2_200)).crashing());
+    assertEquals(NONE, detector.onBroken(id, "request/" + id, at(2_200)).crashing());
     assertEquals(List.of(), detector.crashedReplicas("x"));
   }
 
@@ -126,7 +141,7 @@
     for (int i = 0; i < 2; i++) {
       String other = place("r" + i, i * 1_000, "other");
       crash("r" + i, i * 1_000 + 10, "bad");
-      detector.onBroken(other, at(i * 1_000 + 70));
+      detector.onBroken(other, "request/" + other, at(i * 1_000 + 70));
     }
     assertEquals(2, detector.crashedReplicas("other").size());
     assertEquals(Set.of("bad"), crash("r3", 3_000, "bad"));
@@ -159,7 +174,7 @@
   void requestThatEndsWithoutVerdictTellsNothing() {
     String id = place("r1", 0, "x");
     detector.onEnded(id);
-    assertEquals(NONE, detector.onBroken(id, at(10)).crashing());
+    assertEquals(NONE, detector.onBroken(id, "request/" + id, at(10)).crashing());
     assertEquals(NONE, detector.onCompleted(id, at(10)).cleared());
   }
 
@@ -290,7 +305,7 @@
       for (Running request : List.copyOf(running)) {
         if (request.engine() == engine) {
           running.remove(request);
-          note(detector.onBroken(request.id(), Nanos.ofMillis(now)));
+          note(detector.onBroken(request.id(), "request/" + request.id(), Nanos.ofMillis(now)));
         }
       }
       upAt[engine] = now + RESTART_MILLIS;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -10,6 +10,7 @@
 import org.arbutusspar.core.placement.CrashingPartDetector;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ReplicaRegistry;
+import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.SendPermits;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.io.link.PeerMessage;
@@ -150,21 +151,41 @@
    * @param state the new state, not null
    */
   void report(String service, String requestId, PeerMessage.RunState state) {
-    boolean hasEnded = state != PeerMessage.RunState.BEGUN;
+    report(new PeerMessage.PlacementUpdate(service, requestId, state, ""));
+  }
+
+  /**
+   * Reports to the placer of a request that the connection to the replica broke.
+   *
+   * @param service name of the engine's service, not null
+   * @param requestId identifier of the request, not null
+   * @param subject subject of the request, see {@link RequestIdentity#subject()}, not null
+   */
+  void reportCrash(String service, String requestId, String subject) {
+    report(
+        new PeerMessage.PlacementUpdate(service, requestId, PeerMessage.RunState.CRASHED, subject));
+  }
+
+  private void report(PeerMessage.PlacementUpdate update) {
+    String requestId = update.requestId();
+    boolean hasEnded = update.state() != PeerMessage.RunState.BEGUN;
     String placerName =
         hasEnded ? placerOfRequest.remove(requestId) : placerOfRequest.get(requestId);
     if (placerName == null) {
       return;
     }
     if (placerName.equals(peers.self().name())) {
-      onStateChange(service, requestId, state);
+      onStateChange(update);
     } else {
-      peerNetwork.send(placerName, new PeerMessage.PlacementUpdate(service, requestId, state));
+      peerNetwork.send(placerName, update);
     }
   }
 
   /** Applies a state change to the placer of this instance. */
-  private void onStateChange(String service, String requestId, PeerMessage.RunState state) {
+  private void onStateChange(PeerMessage.PlacementUpdate update) {
+    String service = update.service();
+    String requestId = update.requestId();
+    PeerMessage.RunState state = update.state();
     if (state == PeerMessage.RunState.BEGUN) {
       placer(service).onResponseStarted(requestId);
     } else {
@@ -173,17 +194,18 @@
       placer(service).onEnded(requestId, !failed, loop.now());
     }
     CrashingPartDetector detector = detector(service);
-    CrashingPartDetector.Findings findings = findings(detector, requestId, state);
+    CrashingPartDetector.Findings findings = findings(detector, update);
     findings.crashing().forEach(part -> blocks.block(part, detector.crashedReplicas(part)));
     findings.cleared().forEach(blocks::permit);
   }
 
   private CrashingPartDetector.Findings findings(
-      CrashingPartDetector detector, String requestId, PeerMessage.RunState state) {
-    return switch (state) {
+      CrashingPartDetector detector, PeerMessage.PlacementUpdate update) {
+    String requestId = update.requestId();
+    return switch (update.state()) {
       case BEGUN -> detector.onResponseStarted(requestId, loop.now());
       case COMPLETED -> detector.onCompleted(requestId, loop.now());
-      case CRASHED -> detector.onBroken(requestId, loop.now());
+      case CRASHED -> detector.onBroken(requestId, update.subject(), loop.now());
       case ENDED, BROKEN -> detector.onEnded(requestId);
     };
   }
@@ -207,7 +229,7 @@
         pending.found.accept(replicas.find(response.replicaId()));
       }
     } else if (message instanceof PeerMessage.PlacementUpdate update) {
-      onStateChange(update.service(), update.requestId(), update.state());
+      onStateChange(update);
     }
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -376,7 +376,7 @@
 
   @Override
   public void onResponseBroken(String reason) {
-    context.engines().report(service, request.id(), PeerMessage.RunState.CRASHED);
+    context.engines().reportCrash(service, request.id(), identity.subject());
     if (!isPastStart()) {
       context.crashes().onBroken(request.id(), identity, attemptReplica, sentAt);
     }
@@ -390,7 +390,11 @@
     if (ended) {
       return;
     }
-    context.engines().report(service, request.id(), runStateAfter(verdict));
+    if (verdict == SendVerdict.UNKNOWN) {
+      context.engines().reportCrash(service, request.id(), identity.subject());
+    } else {
+      context.engines().report(service, request.id(), runStateAfter(verdict));
+    }
     reportToGuard(verdict);
     mayHaveRun |= verdict == SendVerdict.FAILED || verdict == SendVerdict.UNKNOWN;
     boolean retry =
@@ -444,9 +448,6 @@
    * failure did respond, so the placer does not count this end as a failure of the replica.
    */
   private static PeerMessage.RunState runStateAfter(SendVerdict verdict) {
-    if (verdict == SendVerdict.UNKNOWN) {
-      return PeerMessage.RunState.CRASHED;
-    }
     return verdict.didNotReachReplica() ? PeerMessage.RunState.BROKEN : PeerMessage.RunState.ENDED;
   }
 
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -117,6 +117,7 @@
       } else if (message instanceof PeerMessage.PlacementUpdate update) {
         packer.packInt(PLACEMENT_UPDATE).packString(update.service());
         packer.packString(update.requestId()).packInt(update.state().ordinal());
+        packer.packString(update.subject());
       } else if (message instanceof PeerMessage.Block block) {
         packer.packInt(BLOCK).packString(block.decision().subject());
         packer.packLong(block.decision().decidedMillis());
@@ -176,7 +177,8 @@
             new PeerMessage.PlacementUpdate(
                 unpacker.unpackString(),
                 unpacker.unpackString(),
-                enumConstant(PeerMessage.RunState.values(), unpacker));
+                enumConstant(PeerMessage.RunState.values(), unpacker),
+                unpacker.hasNext() ? unpacker.unpackString() : "");
         case BLOCK ->
             new PeerMessage.Block(
                 new BlockDecision(
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -108,8 +108,10 @@
    * @param service name of the engine's service
    * @param requestId identifier of the request
    * @param state the new state
+   * @param subject subject of the request if its connection broke, otherwise the empty string
    */
-  record PlacementUpdate(String service, String requestId, RunState state) implements PeerMessage {}
+  record PlacementUpdate(String service, String requestId, RunState state, String subject)
+      implements PeerMessage {}
 
   /**
    * Passes on a decision to block or permit requests. Also the form in which the decision is
