--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/BlockDecisions.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/BlockDecisions.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.core.placement;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.arbutusspar.core.BoundedMaps;
@@ -63,8 +64,16 @@
     return known == null ? 0 : known.decidedMillis();
   }
 
-  /** Returns the number of subjects that are blocked at a time in Unix milliseconds. */
-  public int blockedCount(long nowMillis) {
-    return (int) decisions.values().stream().filter(d -> d.isBlocked(nowMillis)).count();
+  /**
+   * Returns the subjects that are blocked.
+   *
+   * @param nowMillis current time in Unix milliseconds
+   * @return the subjects
+   */
+  public List<String> blockedSubjects(long nowMillis) {
+    return decisions.values().stream()
+        .filter(decision -> decision.isBlocked(nowMillis))
+        .map(BlockDecision::subject)
+        .toList();
   }
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/BlockDecisionsTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/BlockDecisionsTest.java
@@ -19,8 +19,8 @@
     assertEquals(Optional.of(decision), decisions.findBlocked(List.of("a", "x"), 1_499));
     assertEquals(Optional.empty(), decisions.findBlocked(List.of("x"), 1_500));
     assertEquals(Optional.empty(), decisions.findBlocked(List.of("a"), 1_100));
-    assertEquals(1, decisions.blockedCount(1_100));
-    assertEquals(0, decisions.blockedCount(1_500));
+    assertEquals(List.of("x"), decisions.blockedSubjects(1_100));
+    assertEquals(List.of(), decisions.blockedSubjects(1_500));
   }
 
   /** An instance that was cut off would restore a decision that others have replaced. */
@@ -40,7 +40,7 @@
     for (int i = 0; i < 2_000; i++) {
       decisions.put(BlockDecision.blocked("x" + i, 1, 1_000));
     }
-    assertEquals(512, decisions.blockedCount(2));
+    assertEquals(512, decisions.blockedSubjects(2).size());
     assertTrue(decisions.findBlocked(List.of("x1999"), 2).isPresent());
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/BlockList.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/BlockList.java
@@ -80,9 +80,17 @@
     return decision.blockedUntilMillis() - unixMillis.getAsLong();
   }
 
-  /** Returns the number of blocked subjects. */
-  int blockedCount() {
-    return decisions.blockedCount(unixMillis.getAsLong());
+  /** Returns the number of blocked prompt parts. */
+  int blockedParts() {
+    return decisions.blockedSubjects(unixMillis.getAsLong()).size() - blockedRequests();
+  }
+
+  /** Returns the number of blocked requests. */
+  int blockedRequests() {
+    return (int)
+        decisions.blockedSubjects(unixMillis.getAsLong()).stream()
+            .filter(subject -> subject.startsWith(RequestIdentity.SUBJECT_PREFIX))
+            .count();
   }
 
   /**
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -272,6 +272,10 @@
         "arbutusspar_blocked_prompt_parts",
         "Prompt parts that crashed model engines, whose requests are rejected",
         () -> snapshot.blockedPromptParts());
+    metrics.gauge(
+        "arbutusspar_blocked_requests",
+        "Requests that crashed replicas, whose repeats are rejected",
+        () -> snapshot.blockedRequests());
     metrics.gauge(
         "arbutusspar_limited_replicas",
         "Replicas that limit the rate of the requests of all instances together",
@@ -476,7 +480,8 @@
             peers.liveCount(loop.now()),
             pieces.waitingPieces(),
             context.retriesLeft(),
-            blocks.blockedCount(),
+            blocks.blockedParts(),
+            blocks.blockedRequests(),
             rateLimits.inForce().size());
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
@@ -16,6 +16,7 @@
  * @param retriesLeft number of retries that the retry budget permits now, by name of each service
  *     that has received requests
  * @param blockedPromptParts number of prompt parts whose requests are rejected
+ * @param blockedRequests number of requests whose repeats are rejected
  * @param limitedReplicas number of replicas that limit their request rate
  */
 record StateSnapshot(
@@ -26,10 +27,12 @@
     int waitingPieces,
     Map<String, Integer> retriesLeft,
     int blockedPromptParts,
+    int blockedRequests,
     int limitedReplicas) {
 
   /** State of an instance that has read nothing from the store and knows no peer. */
-  static final StateSnapshot NONE = new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0);
+  static final StateSnapshot NONE =
+      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0);
 
   /** Copies the maps. */
   StateSnapshot {
