Let a repeated request crash engines in the run of overlapping faults

A client now repeats one request at any instance while instances restart and the store returns from copies. Prompts of test requests are their bodies too, since requests with one body are the same request.

--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingPromptPartTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingPromptPartTest.java
@@ -5,7 +5,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -101,8 +100,7 @@
     RawCall call =
         SampleTraffic.request(instance.settings().clients(), "/s/x", "r" + number, "key");
     String prompt = "common:8," + part + ":4,own" + number + ":2";
-    RawCall withPrompt = SampleTraffic.withPrompt(call, prompt);
-    return client.fetch("test", withPrompt.withBody(prompt.getBytes(StandardCharsets.UTF_8)));
+    return client.fetch("test", SampleTraffic.withPrompt(call, prompt));
   }
 
   private static int status(CompletableFuture<RawReply> reply) {
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
@@ -1,7 +1,6 @@
 package org.arbutusspar.entry.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -31,8 +30,8 @@
 /**
  * Runs three instances under load while faults overlap in random order: instances that stop or are
  * closed and start again, a store that returns from a copy, engines that announce their shutdown or
- * a pause or state a limit on their request rate, prompts that crash engines, and withdrawn keys.
- * More seeds: -Dsoak.first=1 -Dsoak.seeds=50
+ * a pause or state a limit on their request rate, prompts that crash engines, a repeated request
+ * that does so too, and withdrawn keys. More seeds: -Dsoak.first=1 -Dsoak.seeds=50
  */
 class OverlappingFaultsSoakTest extends GatewayRig {
 
@@ -42,6 +41,8 @@
   private static final int PLAIN_REPLICAS = 2;
   private static final long RESTART_MILLIS = 400;
   private static final String CRASHING_PART = "bad";
+  private static final String CRASHING_PATH = "/n/bad";
+  private static final int MAX_REPEAT_PAUSE_MILLIS = 600;
   private static final int FIRST_VERSION = 2;
 
   /** Bounds of the users' pages for the first sites. */
@@ -52,6 +53,7 @@
   private static final long UNDER_WAY_NANOS = 500_000_000L;
   private static final long PAUSE_NANOS = 1_000_000_000L;
   private static final int CRASHES_TO_DETECT = 5;
+  private static final int CRASHES_TO_DETECT_REQUEST = 3;
   private static final int MAX_LATE_REQUESTS = 3;
   private static final int MAX_LIMIT_DELAY_MILLIS = 4_000;
   private static final List<Double> LIMITS_PER_SECOND = List.of(0.5, 1.0, 1.7, 5.0, 20.0);
@@ -60,6 +62,10 @@
   private final List<Engine> formerEngines = new CopyOnWriteArrayList<>();
   private final Map<Integer, Instance> instances = new ConcurrentHashMap<>();
   private final List<Long> crashTimes = new CopyOnWriteArrayList<>();
+
+  /** Times of the crashes under the repeated request. */
+  private final List<Long> repeatedCrashTimes = new CopyOnWriteArrayList<>();
+
   private final Set<String> rejectedIds = ConcurrentHashMap.newKeySet();
   private final List<String> violations = new CopyOnWriteArrayList<>();
   private final AtomicInteger sent = new AtomicInteger();
@@ -126,6 +132,8 @@
       Random clientRandom = new Random(-seed * 100L - i);
       threads.add(new Thread(() -> sendPlainUntilStopped(clientRandom)));
     }
+    Random repeatRandom = new Random(seed * 100L + 99);
+    threads.add(new Thread(() -> repeatCrashingRequestUntilStopped(repeatRandom)));
     threads.add(new Thread(this::writeHeartbeatsUntilStopped));
     threads.forEach(Thread::start);
     long start = System.nanoTime();
@@ -162,13 +170,8 @@
           closeAfterTest(ReplicaStandin.start(id, freeEndpoint(FIRST_ADDRESS)));
       Engine started = new Engine(id, standin);
       standin.setBehaviour(Behaviour.STREAM);
-      standin.crashOn(
-          CRASHING_PART,
-          () -> {
-            crashTimes.add(System.nanoTime());
-            standin.close();
-            replace(started, RESTART_MILLIS);
-          });
+      standin.crashOn(CRASHING_PART, () -> replaceCrashed(started, crashTimes));
+      standin.crashOnPath(CRASHING_PATH, () -> replaceCrashed(started, repeatedCrashTimes));
       engines.add(started);
       store.putReplica(id, standin.listEntry(SampleTraffic.ENGINE, false));
     } catch (IOException e) {
@@ -176,6 +179,12 @@
     }
   }
 
+  private void replaceCrashed(Engine engine, List<Long> times) {
+    times.add(System.nanoTime());
+    engine.standin.close();
+    replace(engine, RESTART_MILLIS);
+  }
+
   private void replace(Engine engine, long delayMillis) {
     if (engines.remove(engine)) {
       formerEngines.add(engine);
@@ -334,12 +343,26 @@
     }
   }
 
+  /** Sends the same request again and again, each time to any instance. */
+  private void repeatCrashingRequestUntilStopped(Random clientRandom) {
+    while (!stopped) {
+      Instance instance = instances.get(clientRandom.nextInt(INSTANCES));
+      send(instance, CRASHING_PATH, "common:8,again:2", version);
+      sleep(clientRandom.nextInt(MAX_REPEAT_PAUSE_MILLIS));
+    }
+  }
+
   private boolean isServed(Instance instance) {
     return request(instance, "/p/x", "good", version) == 200;
   }
 
-  /** Sends a request and checks its response; returns the status, 0 if there is none. */
+  /** Sends a request with a prompt of its own that contains a part. */
   private int request(Instance instance, String target, String part, int keyVersion) {
+    return send(instance, target, "common:8," + part + ":4,q" + sent.get() + ":2", keyVersion);
+  }
+
+  /** Sends a request and checks its response; returns the status, 0 if there is none. */
+  private int send(Instance instance, String target, String prompt, int keyVersion) {
     String id = "r" + sent.incrementAndGet();
     String key = "key" + keyVersion;
     Long withdrawnAt = replacedAt.get(keyVersion);
@@ -348,7 +371,7 @@
     RawCall call = SampleTraffic.request(instance.settings().clients(), target, id, key);
     RawReply reply =
         client
-            .fetch("test", SampleTraffic.withPrompt(call, "common:8," + part + ":4," + id + ":2"))
+            .fetch("test", SampleTraffic.withPrompt(call, prompt))
             .exceptionally(failure -> null)
             .join();
     if (reply == null) {
@@ -422,15 +445,20 @@
     rejectedIds.stream()
         .filter(runs::containsKey)
         .forEach(id -> violations.add(id + " was rejected as not run, and has run"));
-    long lateCrashes =
-        crashTimes.size() < CRASHES_TO_DETECT
+    checkCrashes(crashTimes, CRASHES_TO_DETECT, "under a prompt part");
+    checkCrashes(repeatedCrashTimes, CRASHES_TO_DETECT_REQUEST, "under a repeated request");
+    assertEquals(List.of(), violations, "seed " + seed);
+  }
+
+  private void checkCrashes(List<Long> times, int crashesToDetect, String cause) {
+    long late =
+        times.size() < crashesToDetect
             ? 0
-            : crashTimes.stream()
-                .filter(t -> t - crashTimes.get(CRASHES_TO_DETECT - 1) > STABILITY_NANOS)
+            : times.stream()
+                .filter(t -> t - times.get(crashesToDetect - 1) > STABILITY_NANOS)
                 .count();
-    assertTrue(
-        lateCrashes <= MAX_LATE_REQUESTS,
-        "seed " + seed + ": " + lateCrashes + " of " + crashTimes.size() + " crashes late");
-    assertEquals(List.of(), violations, "seed " + seed);
+    if (late > MAX_LATE_REQUESTS) {
+      violations.add(late + " of " + times.size() + " crashes " + cause + " were late");
+    }
   }
 }
