Block a crashing request again after its next crash, and send refutations once

A request that is known to crash replicas was looked for no longer, so that after the ten minutes of its block three more replicas had to end. It is now found again by each crash under it, which also explains what else broke off there at the same moment, whichever report comes first. A replica that responds after a supposed crash was announced to all peers with each response for 2 s; now once.

CrashingRequestDetectorTest: knownRequestIsFoundAgainAfterOneCrash and the further assertions in requestsBesideCrashingOneAreNotBlamed and responseSoonAfterCrashRefutesIt.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingRequestDetector.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingRequestDetector.java
@@ -28,7 +28,8 @@
  *   <li>Replicas that fail at the same moment, as by a power loss, say nothing about what they ran.
  *   <li>A replica that responds soon after its supposed crash, or breaks off a request that was
  *       sent then, has not crashed.
- *   <li>A crash under a crashing request is not held against the other requests there.
+ *   <li>A crash under a crashing request is not held against the other requests there, and is a
+ *       finding by itself.
  *   <li>Of several requests that were at the same replicas, none is found before {@value
  *       #MIN_CRASHES_WITH_RIVAL} crashes, since the next crash probably tells them apart.
  * </ul>
@@ -68,7 +69,7 @@
   /** Reports that were added, so that a copy that arrives later is not added again. */
   private final Map<String, Boolean> seen = BoundedMaps.droppingOldest(MAX_SEEN);
 
-  /** Time of the first break, by incarnation of the replica. */
+  /** Time of the last break that could be a crash, by incarnation of the replica. */
   private final Map<String, Long> crashTimes = BoundedMaps.droppingOldest(MAX_CRASHED_REPLICAS);
 
   private CrashingRequestDetector() {}
@@ -90,13 +91,20 @@
       return false;
     }
     suspects.values().removeIf(suspect -> suspect.isExpired(now));
-    boolean refuted = refuteCrash(report.incarnation(), report.sentAt());
+    boolean refuted = isRefuted(report.incarnation(), report.sentAt());
+    if (refuted) {
+      removeCrashes(report.incarnation());
+    }
     Long crashedAt = crashTimes.get(report.incarnation());
     if (crashedAt == null || report.sentAt() - crashedAt > 0) {
       crashTimes.put(report.incarnation(), report.brokenAt());
     }
     if (!refuted && !isExplained(report)) {
-      suspects.computeIfAbsent(report.subject(), name -> new Suspect()).add(report);
+      Suspect suspect = suspects.computeIfAbsent(report.subject(), name -> new Suspect());
+      suspect.add(report);
+      if (suspect.crashing) {
+        explainCrashes(suspect);
+      }
     }
     return true;
   }
@@ -128,6 +136,13 @@
         });
     removeEmpty();
     List<String> crashing = new ArrayList<>();
+    suspects.forEach(
+        (name, suspect) -> {
+          if (suspect.crashing && suspect.crashedAgain) {
+            suspect.crashedAgain = false;
+            crashing.add(name);
+          }
+        });
     Optional<String> subject = nextCrashing(now);
     while (subject.isPresent()) {
       Suspect suspect = suspects.get(subject.get());
@@ -199,23 +214,24 @@
   }
 
   /**
-   * Records that a replica was reached: it responded to a request, or broke it off.
+   * Records that a replica responded to a request.
    *
    * @param incarnation name of the incarnation of the replica, not null
    * @param sentAt time when the request was sent
-   * @return whether this shows that an earlier break was no crash
+   * @return whether this shows that an earlier break, which counted until now, was no crash
    */
   public boolean refuteCrash(String incarnation, long sentAt) {
+    return isRefuted(incarnation, sentAt) && removeCrashes(incarnation);
+  }
+
+  /** Returns whether a replica that was reached by a request has not crashed shortly before. */
+  private boolean isRefuted(String incarnation, long sentAt) {
     Long crashedAt = crashTimes.get(incarnation);
     if (crashedAt == null) {
       return false;
     }
     long delay = sentAt - crashedAt;
-    boolean refuted = delay > 0 && delay < Nanos.ofMillis(REFUTATION_MILLIS);
-    if (refuted) {
-      removeCrashes(incarnation);
-    }
-    return refuted;
+    return delay > 0 && delay < Nanos.ofMillis(REFUTATION_MILLIS);
   }
 
   /**
@@ -271,8 +287,12 @@
 
     private boolean crashing;
 
+    /** Whether there was another crash since the request was found to be crashing. */
+    private boolean crashedAgain;
+
     private void add(CrashReport report) {
       reports.put(report.incarnation(), report);
+      crashedAgain = crashing;
     }
 
     private List<CrashReport> settledReports(long now) {
@@ -281,9 +301,11 @@
           .toList();
     }
 
+    /** A request that is known to be crashing is blocked again after its next crash. */
     private boolean isExpired(long now) {
-      return reports.values().stream()
-          .allMatch(report -> now - report.brokenAt() > Nanos.ofMillis(REPORT_VALIDITY_MILLIS));
+      return !crashing
+          && reports.values().stream()
+              .allMatch(report -> now - report.brokenAt() > Nanos.ofMillis(REPORT_VALIDITY_MILLIS));
     }
   }
 }
