--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingPromptPartTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingPromptPartTest.java
@@ -4,15 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.io.http.RawReply;
-import org.arbutusspar.platform.standin.ReplicaStandin;
 import org.arbutusspar.platform.standin.ReplicaStandin.Behaviour;
 import org.arbutusspar.platform.standin.SampleTraffic;
 import org.junit.jupiter.api.Test;
@@ -24,7 +21,6 @@
 class CrashingPromptPartTest extends GatewayRig {
 
   private static final int ENGINES = 4;
-  private static final long RESTART_MILLIS = 400;
   private static final String CRASHING_PART = "bad";
 
   /** Number of crashes after which the part should be known, and the time to react to them. */
@@ -35,15 +31,18 @@
   /** Maximum number of requests with the part that reach an engine after that time. */
   private static final int MAX_LATE_REQUESTS = 3;
 
-  private final List<Long> crashTimes = new CopyOnWriteArrayList<>();
-  private final AtomicInteger started = new AtomicInteger();
   private final AtomicInteger sent = new AtomicInteger();
+  private CrashingReplicas engines;
 
   /** Replaces the engine that does not crash by several that do. */
   private void replaceEngine() {
-    for (int i = 0; i < ENGINES; i++) {
-      startEngine();
-    }
+    engines =
+        CrashingReplicas.start(
+            this,
+            SampleTraffic.ENGINE,
+            Behaviour.STREAM,
+            ENGINES,
+            (replica, onCrash) -> replica.crashOn(CRASHING_PART, onCrash));
     store.putReplica("i-1", "");
   }
 
@@ -51,31 +50,14 @@
     return sendPrompt(instance, "good")
         .handle(
             (reply, failure) ->
-                failure == null && reply.field("X-Response-Signature").orElse("").startsWith("c-"))
+                failure == null
+                    && reply
+                        .field("X-Response-Signature")
+                        .orElse("")
+                        .startsWith(CrashingReplicas.ID_PREFIX))
         .join();
   }
 
-  private void startEngine() {
-    try {
-      String id = "c-" + started.incrementAndGet();
-      ReplicaStandin replica =
-          closeAfterTest(ReplicaStandin.start(id, freeEndpoint(FIRST_ADDRESS)));
-      replica.setBehaviour(Behaviour.STREAM);
-      replica.crashOn(CRASHING_PART, () -> replace(id, replica));
-      store.putReplica(id, replica.listEntry(SampleTraffic.ENGINE, false));
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private void replace(String id, ReplicaStandin crashed) {
-    crashTimes.add(System.nanoTime());
-    crashed.close();
-    sleep(RESTART_MILLIS);
-    store.putReplica(id, "");
-    startEngine();
-  }
-
   /** All instances forgot the part in a restart, and more engines crashed. */
   @Test
   void blockedPartStaysBlockedAfterAllInstancesRestart() throws IOException {
@@ -84,14 +66,14 @@
     await(() -> isServedByCrashingEngine(first));
     await(() -> isBlocked(first), 20_000);
     first.gateway().close();
-    final int crashes = crashTimes.size();
+    final int crashes = engines.crashTimes().size();
     Instance second = startInstance("e-2", SECOND_ADDRESS, List.of());
     await(() -> isReady(second));
     await(() -> isServedByCrashingEngine(second));
     for (int i = 0; i < 5; i++) {
       assertTrue(isBlocked(second));
     }
-    assertEquals(crashes, crashTimes.size());
+    assertEquals(crashes, engines.crashTimes().size());
   }
 
   /** Sends a request whose prompt has the first part in common with all others. */
@@ -125,6 +107,7 @@
     final List<Instance> instances =
         List.of(first, startInstance("e-2", SECOND_ADDRESS, List.of(first.settings().links())));
     replaceEngine();
+    List<Long> crashTimes = engines.crashTimes();
     await(() -> instances.stream().allMatch(this::isServedByCrashingEngine));
     long end = Long.MAX_VALUE;
     List<CompletableFuture<RawReply>> replies = new ArrayList<>();
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingRequestTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingRequestTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.platform.standin.ReplicaStandin.Behaviour;
 import org.arbutusspar.platform.standin.SampleTraffic;
@@ -42,13 +41,7 @@
   private final AtomicInteger sent = new AtomicInteger();
 
   private void startInstances() throws IOException {
-    List<Endpoint> seeds = new ArrayList<>();
-    for (int i = 1; i <= INSTANCES; i++) {
-      Instance instance = startInstance("e-" + i, "127.0.0." + i, List.copyOf(seeds));
-      instances.add(instance);
-      seeds.add(instance.settings().links());
-    }
-    await(() -> instances.stream().allMatch(this::isReady));
+    instances.addAll(startReadyInstances(INSTANCES));
   }
 
   private CrashingReplicas startReplicas(String service, Behaviour behaviour, String crashingPath) {
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -121,6 +121,19 @@
     return new Instance(closeAfterTest(Gateway.start(settings)), settings);
   }
 
+  /**
+   * Starts instances e-1, e-2 and so on at addresses of their own, and waits until all are ready.
+   */
+  List<Instance> startReadyInstances(int count) throws IOException {
+    List<Instance> instances = new ArrayList<>();
+    for (int i = 1; i <= count; i++) {
+      List<Endpoint> seeds = instances.stream().map(each -> each.settings().links()).toList();
+      instances.add(startInstance("e-" + i, "127.0.0." + i, seeds));
+    }
+    await(() -> instances.stream().allMatch(this::isReady));
+    return instances;
+  }
+
   /** Starts an instance, waits until it serves requests, and clears the engine's records. */
   Instance startReadyInstance() throws IOException {
     Instance instance = startInstance("e-1", FIRST_ADDRESS, List.of());
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/ReplicaRateLimitTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/ReplicaRateLimitTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.platform.standin.ReplicaStandin;
 import org.arbutusspar.platform.standin.SampleTraffic;
@@ -34,13 +33,7 @@
   private final AtomicInteger served = new AtomicInteger();
 
   private void startInstances() throws IOException {
-    List<Endpoint> seeds = new ArrayList<>();
-    for (int i = 1; i <= INSTANCES; i++) {
-      Instance instance = startInstance("e-" + i, "127.0.0." + i, List.copyOf(seeds));
-      instances.add(instance);
-      seeds.add(instance.settings().links());
-    }
-    await(() -> instances.stream().allMatch(this::isReady));
+    instances.addAll(startReadyInstances(INSTANCES));
   }
 
   private ReplicaStandin addReplica(String id, String service) throws IOException {
