Do not blame parts for crashes of replicas that all ran one repeated request

Traced beside four busy loops, with logs: the part that all requests share was blocked for ten minutes (part-crashing part=common), since the first request known to have broken off at an engine was often a sound one beside the repeated one, and these differ.

Now all requests that broke off at the engines are compared; those at the last engine may not be known yet, so it is left out. A part that crashes engines under different requests is found as before; after a repeated request two crashes under others are needed.

partsOfRequestsBesideRepeatedOneAreNotBlamed: before, expected [] but was [shared].

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/CrashingPartDetector.java
@@ -29,7 +29,9 @@
  *       they have in common.
  *   <li>A replica that starts a response soon after its supposed crash, or breaks off another one,
  *       has not crashed.
- *   <li>Crashes under one repeated request are the request's: they say nothing about its parts.
+ *   <li>Crashes of replicas that all ran one repeated request are the request's: they say nothing
+ *       about its parts, nor about those of the requests beside it. What else ran at the last of
+ *       these replicas may not be known yet.
  *   <li>A crash under a crashing part is not held against the other parts in flight there.
  *   <li>Of several parts that have only been in requests together, the last one in the prompt is
  *       blamed, and later than a part alone: the fewest requests share it.
@@ -76,6 +78,10 @@
   private final Map<String, Boolean> explainedReplicas =
       BoundedMaps.droppingOldest(MAX_CRASHED_REPLICAS);
 
+  /** Subjects of the requests that broke off, by replica. */
+  private final Map<String, Set<String>> brokenSubjects =
+      BoundedMaps.droppingOldest(MAX_CRASHED_REPLICAS);
+
   private CrashingPartDetector() {}
 
   /** Returns a detector that has seen no request. */
@@ -175,6 +181,7 @@
     if (wasReachedAfterCrash(request)) {
       return refuteCrash(request.replica);
     }
+    brokenSubjects.computeIfAbsent(request.replica, name -> new HashSet<>()).add(subject);
     crashTimes.put(request.replica, now);
     boolean explained = explainedReplicas.containsKey(request.replica);
     for (String part : request.parts) {
@@ -184,7 +191,7 @@
         suspects.put(part, suspect);
       }
       if (suspect != null && (suspect.crashing || !explained)) {
-        suspect.addCrash(request, subject, now);
+        suspect.addCrash(request, now);
       }
     }
     Set<String> crashing = new HashSet<>();
@@ -234,7 +241,21 @@
       return 0;
     }
     int crashes = suspect.crashes.size();
-    return suspect.isOneRequest() ? Math.min(crashes, CRASHES_OF_NEW_PART - 1) : crashes;
+    return mayBeOneRequest(suspect) ? Math.min(crashes, CRASHES_OF_NEW_PART - 1) : crashes;
+  }
+
+  /** Returns whether one request broke off at all replicas that crashed, the last one aside. */
+  private boolean mayBeOneRequest(Suspect suspect) {
+    List<Crash> crashes = List.copyOf(suspect.crashes);
+    Set<String> common = new HashSet<>(subjectsAt(crashes.get(0)));
+    for (Crash crash : crashes.subList(1, Math.max(1, crashes.size() - 1))) {
+      common.retainAll(subjectsAt(crash));
+    }
+    return !common.isEmpty();
+  }
+
+  private Set<String> subjectsAt(Crash crash) {
+    return brokenSubjects.getOrDefault(crash.replica(), Set.of());
   }
 
   /**
@@ -308,21 +329,16 @@
   }
 
   /** Crash of a replica under a request, at the time at which it was known here. */
-  private record Crash(String replica, String subject, long at) {}
+  private record Crash(String replica, long at) {}
 
   /** Crashes in sequence that a part was involved in, the last ones. */
   private static final class Suspect {
     private final Deque<Crash> crashes = new ArrayDeque<>();
     private boolean crashing;
 
-    /** Returns whether all crashes were under the same repeated request. */
-    private boolean isOneRequest() {
-      return crashes.stream().map(Crash::subject).distinct().count() == 1;
-    }
-
-    private void addCrash(PlacedRequest request, String subject, long now) {
+    private void addCrash(PlacedRequest request, long now) {
       if (crashes.isEmpty() || request.placedAt - crashes.getLast().at() > 0) {
-        crashes.addLast(new Crash(request.replica, subject, now));
+        crashes.addLast(new Crash(request.replica, now));
         if (crashes.size() > CRASHES_OF_SOUND_PART) {
           crashes.removeFirst();
         }
