--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -151,7 +151,7 @@
    * @param state the new state, not null
    */
   void report(String service, String requestId, PeerMessage.RunState state) {
-    report(new PeerMessage.PlacementUpdate(service, requestId, state, ""));
+    sendUpdate(new PeerMessage.PlacementUpdate(service, requestId, state, ""));
   }
 
   /**
@@ -162,11 +162,11 @@
    * @param subject subject of the request, see {@link RequestIdentity#subject()}, not null
    */
   void reportCrash(String service, String requestId, String subject) {
-    report(
+    sendUpdate(
         new PeerMessage.PlacementUpdate(service, requestId, PeerMessage.RunState.CRASHED, subject));
   }
 
-  private void report(PeerMessage.PlacementUpdate update) {
+  private void sendUpdate(PeerMessage.PlacementUpdate update) {
     String requestId = update.requestId();
     boolean hasEnded = update.state() != PeerMessage.RunState.BEGUN;
     String placerName =
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingRequestTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/CrashingRequestTest.java
@@ -146,7 +146,7 @@
     instances.remove(0).gateway().close();
     sendUntil(replicas, CRASHES_TO_DETECT, "/b/");
     sleep(REACTION_NANOS / 1_000_000);
-    int crashes = replicas.crashTimes().size();
+    final int crashes = replicas.crashTimes().size();
     for (int i = 0; i < 20; i++) {
       sendBoth("/b/");
     }
@@ -164,7 +164,7 @@
     sleep(1_000);
     instances.forEach(instance -> instance.gateway().close());
     instances.clear();
-    int crashes = replicas.crashTimes().size();
+    final int crashes = replicas.crashTimes().size();
     instances.add(startInstance("e-4", SECOND_ADDRESS, List.of()));
     await(() -> isReady(instances.get(0)));
     for (int i = 0; i < 20; i++) {
