--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -198,13 +198,11 @@
     }
   }
 
-  /** Sends a signal to the process of an instance. Returns the time at which it has been sent. */
-  long signal(Instance instance, String name) throws Exception {
-    new ProcessBuilder("kill", "-" + name, Long.toString(instance.process.pid()))
-        .start()
-        .waitFor();
+  /** Sends SIGTERM to the process of an instance. Returns the time at which it has been sent. */
+  long terminate(Instance instance) {
+    instance.process.toHandle().destroy();
     long sentAt = System.nanoTime();
-    record.line("SIG%s to %s", name, instance.name);
+    record.line("SIGTERM to %s", instance.name);
     return sentAt;
   }
 
--- a/review/standins/LateStreamCase.java
+++ b/review/standins/LateStreamCase.java
@@ -44,7 +44,7 @@
           "signal",
           () -> {
             Threads.sleepUntil(plannedAt);
-            signalAt.set(fleet.signal(instance, "TERM"));
+            signalAt.set(fleet.terminate(instance));
           });
     }
     for (int i = 0; i < clients.size(); i++) {
--- a/review/standins/SilentStreamCase.java
+++ b/review/standins/SilentStreamCase.java
@@ -42,7 +42,7 @@
       StreamClient client = new StreamClient(record, instance.address(), "a" + i);
       clients.add(client);
     }
-    long signalAt = fleet.signal(instance, "TERM");
+    long signalAt = fleet.terminate(instance);
     List<Thread> threads = new ArrayList<>();
     for (int i = 0; i < STREAMS; i++) {
       Threads.sleepUntil(signalAt + (100 + 100L * i) * 1_000_000);
