Reject late requests in a shutdown unless they end before the instance

Cause: a leaving instance accepted a stream while at least 4 s were left, which is a usual duration and no bound: the route permits 12 s. Nothing but the stop ended the stream. The check ran when the head had arrived, so that a body that arrived late moved a request further into the shutdown.

For 2.5 s the usual duration decides as before; after that a request is accepted only if its own deadline passes before the instance stops, so that it ends by itself. Others are rejected at once with 503 and Retry-After. The decision is made for the head and again for the complete body. The users' rule excuses cuts of requests sent in the first 3 s; the half second allows for a signal that reaches the process late.

Plain requests had the same fault with 1 s, and follow the same rule.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -9,11 +9,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.routing.KeyOwner;
 import org.arbutusspar.core.routing.Route;
-import org.arbutusspar.core.routing.RouteKind;
 import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.core.routing.ShutdownAdmission;
 import org.arbutusspar.io.http.BodyCollector;
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.http.StreamHost;
@@ -45,17 +44,6 @@
    */
   private static final long BODY_TIMEOUT_MARGIN_MILLIS = 40;
 
-  /**
-   * Approximate time that a stream and its stages take, in milliseconds. During a shutdown, streams
-   * are rejected if less time is left, because they would be cut.
-   */
-  private static final long EXPECTED_STREAM_MILLIS = 4_000;
-
-  /**
-   * Like {@link #EXPECTED_STREAM_MILLIS}, for other requests: the longest that most of them take.
-   */
-  private static final long EXPECTED_PLAIN_MILLIS = 1_000;
-
   /** Retry-After of an instance that has just started, is full or is leaving, in seconds. */
   private static final String RETRY_AFTER_SECONDS = "0.4";
 
@@ -68,10 +56,9 @@
 
   private final Set<ServedRequest> unfinishedRequests = ConcurrentHashMap.newKeySet();
 
-  /** Latest time at which the instance terminates, in nanoseconds; only set while it leaves. */
-  private volatile long shutdownEnd;
+  /** Rules for the requests that arrive while the instance leaves, or null before. */
+  private volatile ShutdownAdmission shutdown;
 
-  private volatile boolean leaving;
   private volatile boolean rejecting;
 
   ClientHandler(RequestContext context) {
@@ -86,11 +73,10 @@
   /**
    * Starts to drain: each connection is closed after the response to its next request.
    *
-   * @param shutdownEnd latest time at which the instance terminates, monotonic, in nanoseconds
+   * @param rules decide which requests are accepted from now on, not null
    */
-  void leave(long shutdownEnd) {
-    this.shutdownEnd = shutdownEnd;
-    leaving = true;
+  void leave(ShutdownAdmission rules) {
+    shutdown = rules;
   }
 
   /** Rejects the requests of which no byte has been sent to a replica, at the end of a shutdown. */
@@ -110,11 +96,11 @@
     return first;
   }
 
-  private boolean shutdownWouldCut(Route route) {
-    long remainingNanos = shutdownEnd - context.loop().now();
-    long expectedMillis =
-        route.kind() == RouteKind.STREAM ? EXPECTED_STREAM_MILLIS : EXPECTED_PLAIN_MILLIS;
-    return leaving && remainingNanos < Nanos.ofMillis(expectedMillis);
+  /** Returns whether the end of a shutdown may cut a request that is accepted now. */
+  private boolean shutdownMayCut(Route route, ClientRequest request, long arrivedAt) {
+    ShutdownAdmission rules = shutdown;
+    long deadline = ServedRequest.deadline(request, route, arrivedAt);
+    return rules != null && !rules.permits(route.kind(), deadline, context.loop().now());
   }
 
   /** Returns the number of requests whose body has been read and that have not ended. */
@@ -125,7 +111,7 @@
   @Override
   public void handle(Request request, Response response, Callback callback) {
     ClientExchange exchange = ClientExchange.create(request, response, callback);
-    if (leaving) {
+    if (shutdown != null) {
       exchange.closeConnectionAfterResponse();
     }
     ServingState current = state;
@@ -166,7 +152,8 @@
       reject(exchange, clientRequest.id(), BAD_REQUEST, "piece-counts");
       return;
     }
-    if (shutdownWouldCut(route.get())) {
+    long arrivedAt = context.loop().now();
+    if (shutdownMayCut(route.get(), clientRequest, arrivedAt)) {
       reject(exchange, clientRequest.id(), SERVICE_UNAVAILABLE, "leaving");
       return;
     }
@@ -174,7 +161,6 @@
       reject(exchange, clientRequest.id(), SERVICE_UNAVAILABLE, "too-many-bytes");
       return;
     }
-    long arrivedAt = context.loop().now();
     // Set by whichever comes first: the end of the body, its failure or its timeout.
     AtomicBoolean bodyHandled = new AtomicBoolean();
     BodyCollector.read(
@@ -220,7 +206,8 @@
       ClientExchange exchange,
       long arrivedAt) {
     active.incrementAndGet();
-    if (rejecting) {
+    // The shutdown may have begun or progressed while the body arrived.
+    if (rejecting || shutdownMayCut(route, clientRequest, arrivedAt)) {
       active.decrementAndGet();
       reject(exchange, clientRequest.id(), SERVICE_UNAVAILABLE, "leaving");
       return;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.ServingState;
+import org.arbutusspar.core.routing.ShutdownAdmission;
 import org.arbutusspar.core.stage.QueueWait;
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.http.RawClient;
@@ -547,8 +548,7 @@
     leaving = true;
     log.write("stop", "signal", signal, "active", clients.active());
     long startedAt = loop.now();
-    clients.leave(
-        startedAt + Nanos.ofMillis(settings.bounds().shutdownMillis() - SHUTDOWN_MARGIN_MILLIS));
+    clients.leave(ShutdownAdmission.of(startedAt, startedAt + Nanos.ofMillis(maxLeaveMillis())));
     loop.post(
         () -> {
           updateStatus();
@@ -560,7 +560,7 @@
   /** Stops the instance if it is drained or out of time; otherwise checks again later. */
   private void awaitDrained(long startedAt) {
     long elapsedMillis = (long) Nanos.toMillis(loop.now() - startedAt);
-    long maxMillis = settings.bounds().shutdownMillis() - SHUTDOWN_MARGIN_MILLIS;
+    long maxMillis = maxLeaveMillis();
     boolean idle = clients.active() == 0 && pieces.isIdle();
     if (elapsedMillis >= maxMillis) {
       clients.rejectNew();
@@ -577,6 +577,11 @@
     }
   }
 
+  /** Returns the time after which the instance stops although requests are in progress. */
+  private long maxLeaveMillis() {
+    return Math.max(0, settings.bounds().shutdownMillis() - SHUTDOWN_MARGIN_MILLIS);
+  }
+
   private void stop(long elapsedMillis) {
     log.write("stopped", "active", clients.active(), "elapsed_ms", elapsedMillis);
     tables.stop();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -146,9 +146,20 @@
     this.identity =
         RequestIdentity.of(
             request.host(), request.target(), keyOwner.map(KeyOwner::workspace).orElse(""), body);
+    this.deadline = deadline(request, route, arrivedAt);
+  }
+
+  /**
+   * Returns the time by which a client must have the response to its request.
+   *
+   * @param request the request, not null
+   * @param route its route, not null
+   * @param arrivedAt time of its arrival, monotonic, in nanoseconds
+   * @return the time on the same clock
+   */
+  static long deadline(ClientRequest request, Route route, long arrivedAt) {
     long clientTimeoutMillis = request.clientTimeoutMillis().orElse(DEFAULT_CLIENT_TIMEOUT_MILLIS);
-    this.deadline =
-        arrivedAt + Nanos.ofMillis(Math.min(clientTimeoutMillis, route.timeoutMillis()));
+    return arrivedAt + Nanos.ofMillis(Math.min(clientTimeoutMillis, route.timeoutMillis()));
   }
 
   /**
