Count a sent request as run until a verdict on its attempt

Cause: a count in X-Server-Load beyond int threw in UpstreamResponse, so the head of the response was not kept. Jetty catches what a listener throws and reported the call as successful; UpstreamAttempt.onComplete marked the attempt as ended and threw in turn. The request was left without an outcome, and at its deadline an attempt that had ended counted as one that had not run. Any exception between the end of an attempt and its verdict had this effect, at the deadline and at the end of a shutdown.

ExecutionRecord makes the status follow from the state of the send: from the commitment to send on a request counts as run until a verdict on that attempt says otherwise. A listener that throws fails its call, and a step of a request that throws ends it at once, so that the client need not wait for its deadline.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/SendVerdict.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/SendVerdict.java
@@ -13,6 +13,11 @@
   /** The request was sent and no valid response arrived, so it may have run. */
   UNKNOWN;
 
+  /** Returns whether a replica may have run the request. */
+  public boolean mayHaveRun() {
+    return this == FAILED || this == UNKNOWN;
+  }
+
   /** Returns whether the request did not reach the chosen replica. */
   public boolean didNotReachReplica() {
     return this == NOT_SENT || this == MISDIRECTED;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -10,10 +10,13 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.core.placement.BlockDecision;
 import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.ExecutionRecord;
 import org.arbutusspar.core.placement.PlacementRequest;
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.RetryRules;
@@ -25,6 +28,7 @@
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.core.stage.StageAdmission;
 import org.arbutusspar.core.stage.StageResult;
+import org.arbutusspar.io.KeyValueLine;
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.ClientRequest;
@@ -35,6 +39,8 @@
  */
 final class ServedRequest implements StageRun.Owner, UpstreamAttempt.Owner {
 
+  private static final Logger LOG = LogManager.getLogger(ServedRequest.class);
+
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int BAD_GATEWAY = 502;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -103,12 +109,14 @@
   private int sentAttempts;
 
   /**
-   * Whether a replica may have run the request. If so, the client must not get status 503, which
-   * states that the request was not run.
+   * Tells whether a replica may have run the request. If so, the client must not get status 503,
+   * which states that the request was not run.
    */
-  private boolean mayHaveRun;
+  private final ExecutionRecord execution = ExecutionRecord.create();
 
   private boolean ended;
+
+  /** The last attempt; null before the first one. */
   private UpstreamAttempt attempt;
 
   /** Replica of the last attempt; null before the first one. */
@@ -175,8 +183,15 @@
       return;
     }
     context.onRequest(service);
-    timer = context.loop().at(deadline - Nanos.ofMillis(RESPONSE_MARGIN_MILLIS), this::onDeadline);
-    exchange.onDisconnect(() -> context.loop().post(this::onClientDisconnect));
+    timer =
+        context
+            .loop()
+            .at(deadline - Nanos.ofMillis(RESPONSE_MARGIN_MILLIS), () -> runStep(this::onDeadline));
+    exchange.onDisconnect(() -> context.loop().post(() -> runStep(this::onClientDisconnect)));
+    runStep(this::begin);
+  }
+
+  private void begin() {
     context
         .log()
         .write(
@@ -209,6 +224,25 @@
     }
   }
 
+  /**
+   * Runs a step of this request. If the step throws, the request is ended, so that its client does
+   * not wait until the deadline.
+   */
+  @Override
+  public void runStep(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      LOG.error(KeyValueLine.event("request-error").with("id", request.id()).with("error", e), e);
+      if (!ended && exchange.isUnanswered()) {
+        fail("internal-error");
+      } else if (!ended) {
+        exchange.abort("internal error");
+        end("broken", "internal-error");
+      }
+    }
+  }
+
   private void startStages() {
     StageRun run = StageRun.create(context, state, request, route, arrivedAt, deadline, this);
     stageRun = Optional.of(run);
@@ -223,12 +257,12 @@
   @Override
   public void onStagesDone(List<StageResult> results) {
     stageResults = results;
-    dispatch();
+    runStep(this::dispatch);
   }
 
   @Override
   public void onStageFailed(String reason) {
-    fail("stage-" + reason);
+    runStep(() -> fail("stage-" + reason));
   }
 
   /** Returns the decision that blocks the request, or for an engine a part of its prompt. */
@@ -250,7 +284,9 @@
       return;
     }
     if (isModelEngine() || context.rateLimits().isAnyLimited(notLeaving())) {
-      context.engines().find(service, engineRequest(), this::sendOrFail);
+      context
+          .engines()
+          .find(service, engineRequest(), replica -> runStep(() -> sendOrFail(replica)));
     } else {
       sendOrFail(chooseReplica());
     }
@@ -353,6 +389,7 @@
             replica,
             route.kind(),
             exchange);
+    execution.onStarted(attempt::revoke);
   }
 
   private int priority() {
@@ -398,6 +435,7 @@
   @Override
   public void onAttemptFailed(
       SendVerdict verdict, String reason, Optional<UpstreamAttempt.BufferedResponse> response) {
+    execution.onVerdict(verdict);
     if (ended) {
       return;
     }
@@ -407,7 +445,6 @@
       context.engines().report(service, request.id(), runStateAfter(verdict));
     }
     reportToGuard(verdict);
-    mayHaveRun |= verdict == SendVerdict.FAILED || verdict == SendVerdict.UNKNOWN;
     boolean retry =
         RetryRules.mayRetry(route, verdict, sentAttempts)
             && remainingMillis() > MIN_SEND_MILLIS
@@ -474,12 +511,8 @@
     if (ended) {
       return;
     }
-    // An attempt that can no longer be revoked may run at its replica.
-    if (attempt != null && attempt.isActive() && !attempt.revoke()) {
-      mayHaveRun = true;
-    }
     if (exchange.isUnanswered()) {
-      respondAndEnd(mayHaveRun ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE, "deadline");
+      respondAndEnd(execution.mayHaveRun() ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE, "deadline");
     } else {
       exchange.abort("deadline");
       end("broken", "deadline");
@@ -491,8 +524,7 @@
    * shutdown, when the request could no longer be served.
    */
   void rejectUnsent() {
-    boolean unsent = attempt == null || !attempt.isActive() || attempt.revoke();
-    if (!ended && !mayHaveRun && unsent && exchange.isUnanswered()) {
+    if (!ended && exchange.isUnanswered() && !execution.mayHaveRun()) {
       respondAndEnd(SERVICE_UNAVAILABLE, "leaving");
     }
   }
@@ -505,7 +537,7 @@
   }
 
   private void fail(String reason) {
-    respondAndEnd(mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason);
+    respondAndEnd(execution.mayHaveRun() ? BAD_GATEWAY : SERVICE_UNAVAILABLE, reason);
   }
 
   /**
@@ -530,7 +562,9 @@
             perSecond.getAsDouble());
     double seconds = Math.max(retryAfterSeconds(), 1 / Math.max(MIN_RATE, perSecond.getAsDouble()));
     respondAndEnd(
-        mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, "rate-limit", formatSeconds(seconds));
+        execution.mayHaveRun() ? BAD_GATEWAY : SERVICE_UNAVAILABLE,
+        "rate-limit",
+        formatSeconds(seconds));
   }
 
   private List<UpstreamReplica> notLeaving() {
@@ -542,7 +576,7 @@
     double seconds = context.blocks().remainingMillis(decision) / MILLIS_PER_SECOND;
     boolean wholeRequest = decision.subject().startsWith(RequestIdentity.SUBJECT_PREFIX);
     respondAndEnd(
-        mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE,
+        execution.mayHaveRun() ? BAD_GATEWAY : SERVICE_UNAVAILABLE,
         wholeRequest ? "crashing-request" : "crashing-part",
         formatSeconds(seconds));
   }
@@ -583,11 +617,11 @@
     if (timer != null) {
       timer.cancel();
     }
-    context.engines().report(service, request.id(), PeerMessage.RunState.ENDED);
-    if (attempt != null) {
-      attempt.cancel(reason);
+    try {
+      releaseResources(reason);
+    } finally {
+      onEnd.run();
     }
-    stageRun.ifPresent(StageRun::end);
     context.metrics().onOutcome(outcome, reason);
     context
         .log()
@@ -603,7 +637,14 @@
             sentAttempts,
             "ms",
             elapsedMillis());
-    onEnd.run();
+  }
+
+  private void releaseResources(String reason) {
+    context.engines().report(service, request.id(), PeerMessage.RunState.ENDED);
+    if (attempt != null) {
+      attempt.cancel(reason);
+    }
+    stageRun.ifPresent(StageRun::end);
   }
 
   private long remainingMillis() {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -119,11 +119,6 @@
     return attempt;
   }
 
-  /** Returns whether the attempt has not ended. */
-  boolean isActive() {
-    return !ended;
-  }
-
   /**
    * Prevents the request from being sent, unless sending has started.
    *
@@ -160,7 +155,7 @@
     if (!sendPhase.compareAndSet(SendPhase.WAITING, SendPhase.COMMITTED)) {
       return false;
     }
-    context.loop().post(owner::onSendStarted);
+    post(owner::onSendStarted);
     return true;
   }
 
@@ -195,7 +190,7 @@
     }
     if (!startReported) {
       startReported = true;
-      context.loop().post(this::reportStart);
+      post(this::reportStart);
     }
     exchange.writeContent(part, acknowledge);
   }
@@ -223,14 +218,19 @@
 
   @Override
   public void onSuccess() {
-    context.loop().post(this::onComplete);
+    post(this::onComplete);
   }
 
   @Override
   public void onFailure(Throwable cause) {
     // The reason becomes a metric label. Messages contain addresses, which would give the label an
     // unbounded number of values, so only the class name is used.
-    context.loop().post(() -> onBroken(cause.getClass().getSimpleName()));
+    post(() -> onBroken(cause.getClass().getSimpleName()));
+  }
+
+  /** Runs a step of the owner's request on the event loop. */
+  private void post(Runnable step) {
+    context.loop().post(() -> owner.runStep(step));
   }
 
   private void onComplete() {
@@ -362,6 +362,13 @@
   /** Receives the events of an attempt, on the event loop. */
   interface Owner {
 
+    /**
+     * Runs a task that calls the other methods. Exceptions of the task end the request.
+     *
+     * @param step the task, not null
+     */
+    void runStep(Runnable step);
+
     /** Called when the request is about to be sent; from then on the replica may run it. */
     void onSendStarted();
 
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
@@ -93,6 +93,23 @@
     }
   }
 
+  /**
+   * Guards against requests that ran and were rejected as not run. The replica reports a count that
+   * does not fit into an int; the response was dropped, and the request ended at its deadline.
+   */
+  @Test
+  void responseWithSpoiledLoadReportIsForwarded() throws IOException {
+    Instance instance = startReadyInstance();
+    ScriptedReplica replica = replaceEngine(instance, Script.SPOILED_LOAD);
+    for (String path : List.of("/n/x", "/p/x")) {
+      String id = id();
+      RawReply reply = call(instance, path, id, "key");
+      assertEquals(200, reply.status());
+      assertEquals(Optional.of("s." + id), reply.field("X-Response-Signature"));
+    }
+    assertTrue(replica.received().size() >= 2);
+  }
+
   @Test
   void malformedOrTruncatedResponsesAreFailures() throws IOException {
     Instance instance = startReadyInstance();
@@ -142,7 +159,7 @@
   }
 
   /** Replaces the engine, and waits until the instance sends requests to the new one. */
-  private void replaceEngine(Instance instance, Script script) throws IOException {
+  private ScriptedReplica replaceEngine(Instance instance, Script script) throws IOException {
     ScriptedReplica replica = closeAfterTest(ScriptedReplica.start(FIRST_ADDRESS, script));
     store.putReplica("i-1", "");
     store.putReplica(
@@ -152,6 +169,7 @@
           send(instance, "/s/x", id(), "key").handle((reply, failure) -> reply).join();
           return !replica.received().isEmpty();
         });
+    return replica;
   }
 
   /**
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
@@ -103,7 +103,10 @@
           }
         });
     request.onResponseHeaders(
-        response -> listener.onHeaders(response.getStatus(), fields(response.getHeaders())));
+        response ->
+            abortOnError(
+                response,
+                () -> listener.onHeaders(response.getStatus(), fields(response.getHeaders()))));
     request.onResponseContentAsync(new CopyingContentListener(listener));
     request.send(
         result -> {
@@ -116,6 +119,18 @@
     return reason -> request.abort(new StepException("cancel", call.endpoint() + "", reason, null));
   }
 
+  /**
+   * Runs a callback of a listener. If it throws, the call fails with that exception; Jetty would
+   * log the exception and report the call as successful.
+   */
+  private static void abortOnError(Response response, Runnable callback) {
+    try {
+      callback.run();
+    } catch (RuntimeException e) {
+      response.abort(e);
+    }
+  }
+
   /**
    * Sends a call and buffers the whole response, which is expected to be small.
    *
@@ -226,7 +241,7 @@
       }
       ByteBuffer copy = ByteBuffer.allocate(buffer.remaining());
       copy.put(buffer).flip();
-      listener.onContent(copy, demander);
+      abortOnError(response, () -> listener.onContent(copy, demander));
     }
   }
 
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawListener.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawListener.java
@@ -3,7 +3,10 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 
-/** Receives the events of a call, one after the other, on threads of the client. */
+/**
+ * Receives the events of a call, one after the other, on threads of the client. If {@link
+ * #onHeaders} or {@link #onContent} throws, the call is cancelled and fails with that exception.
+ */
 public interface RawListener {
 
   /**
