--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
@@ -110,6 +110,19 @@
     assertTrue(replica.received().size() >= 2);
   }
 
+  /**
+   * Guards against requests that ran and were rejected as not run: the replica repeated its
+   * rejection of an earlier request.
+   */
+  @Test
+  void rejectionOfOtherRequestIsNoPromise() throws IOException {
+    Instance instance = startReadyInstance();
+    ScriptedReplica replica = replaceEngine(instance, Script.REJECTION_OF_OTHER_REQUEST);
+    String id = id();
+    assertEquals(502, call(instance, "/n/x", id, "key").status());
+    assertEquals(1, replica.received().stream().filter(each -> each.id().equals(id)).count());
+  }
+
   @Test
   void malformedOrTruncatedResponsesAreFailures() throws IOException {
     Instance instance = startReadyInstance();
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
@@ -42,6 +42,12 @@
 
   private static final long DESTINATION_IDLE_TIMEOUT_MILLIS = 10_000;
 
+  /**
+   * Tag of calls whose connection is not reused. Jetty has a connection pool for each tag, so these
+   * calls never get a connection on which a late response to an earlier call may arrive.
+   */
+  private static final String SINGLE_USE = "single-use";
+
   private final HttpClient client;
 
   private RawClient(HttpClient client) {
@@ -173,6 +179,9 @@
             headers.add(HttpHeader.CONNECTION, "close");
           }
         });
+    if (!call.keepConnection()) {
+      request.tag(SINGLE_USE);
+    }
     if (call.body().length > 0) {
       request.body(new BytesRequestContent((String) null, call.body()));
     }
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/http/RawClientTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/http/RawClientTest.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -69,6 +70,25 @@
     }
   }
 
+  /**
+   * Guards against calls that take a late response to an earlier call for their own: they were sent
+   * on the connection that an earlier call had kept open.
+   */
+  @Test
+  void callOnConnectionOfItsOwnGetsNoLateResponse() throws Exception {
+    CompletableFuture<RawReply> kept = client.fetch("kept", call(true));
+    try (Socket first = server.accept()) {
+      respond(first, RESPONSE);
+      kept.join();
+      final CompletableFuture<RawReply> single = client.fetch("single", call(false));
+      server.setSoTimeout(1_000);
+      try (Socket second = server.accept()) {
+        respond(second, RESPONSE.replace("whole", "other"));
+        assertEquals("other", new String(single.join().body(), StandardCharsets.UTF_8));
+      }
+    }
+  }
+
   /** Throws in one of its callbacks, and records how the call ended: null for success. */
   private record ThrowingListener(boolean inHeaders, CompletableFuture<Throwable> end)
       implements RawListener {
