Take no odd entry of the list of replicas for a replica

Other operators reported that one odd entry among those of the replicas (nested deeply, a number too large, a port out of range) ended machines or stopped them from following the list. A call to "::::" threw in the caller (RawClientTest.callToUnusableHostFails), which left its request without an outcome until the deadline.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/balancing/Endpoint.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/balancing/Endpoint.java
@@ -1,5 +1,6 @@
 package org.arbutusspar.core.balancing;
 
+import java.util.regex.Pattern;
 import org.apache.commons.lang3.Validate;
 
 /**
@@ -11,11 +12,18 @@
 public record Endpoint(String host, int port) {
 
   private static final int MAX_PORT = 65_535;
+  private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})";
+  private static final String HEX_GROUP = "[0-9A-Fa-f]{0,4}";
+
+  /** Matches every IPv4 address, and texts that consist of the groups of an IPv6 address. */
+  private static final Pattern IP_ADDRESS =
+      Pattern.compile(
+          "(%1$s\\.){3}%1$s|(%2$s:){2,7}(%2$s|(%1$s\\.){3}%1$s)".formatted(OCTET, HEX_GROUP));
 
   /** Checks the components. */
   public Endpoint {
     Validate.isTrue(
-        host != null && host.matches("[0-9A-Fa-f.:]{2,45}"), "host must be an IP address");
+        host != null && IP_ADDRESS.matcher(host).matches(), "host must be an IP address");
     Validate.inclusiveBetween(1, MAX_PORT, port, "port must be from 1 to 65535");
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
@@ -269,13 +269,14 @@
           StorePosition.toText(table.offset()));
       holdRemovals();
     }
-    notifyListener(table.replace(page.records(), page.nextOffset()));
+    // Reading goes on in any case, also if a record cannot be processed.
     readAgainAfter(pollInterval.pauseMillis());
+    notifyListener(table.replace(page.records(), page.nextOffset()));
   }
 
   private void onAppended(KeyedPage page) {
-    notifyListener(table.append(page.records(), page.nextOffset()));
     readAgainAfter(pollInterval.pauseMillis());
+    notifyListener(table.append(page.records(), page.nextOffset()));
   }
 
   private void applyHeldRemovals() {
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/RawClient.java
@@ -94,14 +94,25 @@
   }
 
   /**
-   * Sends a call and streams the response to a listener.
+   * Sends a call and streams the response to a listener. A call that HTTP cannot express, such as
+   * one with a malformed host, is reported to the listener as failed.
    *
    * @param call the call, not null
    * @param listener notified of each event, not null
    * @return handle to cancel the call
    */
   public Cancellation send(RawCall call, RawListener listener) {
-    Request request = newRequest(call);
+    Request request;
+    try {
+      request = newRequest(call);
+    } catch (IllegalArgumentException e) {
+      listener.onFailure(e);
+      return reason -> {};
+    }
+    return send(call, request, listener);
+  }
+
+  private static Cancellation send(RawCall call, Request request, RawListener listener) {
     request.onRequestBegin(
         started -> {
           if (!listener.beforeSend()) {
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/http/RawClientTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/http/RawClientTest.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.io.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -10,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -89,6 +91,16 @@
     }
   }
 
+  /** Guards against callers that wait for a call which failed by an exception instead. */
+  @ParameterizedTest
+  @ValueSource(strings = {"::::", ":::::::", "::1"})
+  void callToUnusableHostFails(String host) {
+    List<HeaderField> fields = List.of(new HeaderField("Host", "x"));
+    RawCall call = new RawCall("GET", new Endpoint(host, 9), "/x", fields, new byte[0], 500, false);
+    CompletableFuture<RawReply> reply = client.fetch("test", call);
+    assertThrows(ExecutionException.class, () -> reply.get(2, TimeUnit.SECONDS));
+  }
+
   /** Throws in one of its callbacks, and records how the call ended: null for success. */
   private record ThrowingListener(boolean inHeaders, CompletableFuture<Throwable> end)
       implements RawListener {
