--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
@@ -123,6 +123,30 @@
     assertEquals(1, replica.received().stream().filter(each -> each.id().equals(id)).count());
   }
 
+  /**
+   * Guards against requests that wait for their deadline, and releases that stop for good, because
+   * a worker returned a handle that names no replica. The route's timeout is 4 s.
+   */
+  @Test
+  void malformedHandleFailsItsRequestAtOnce() throws IOException {
+    Instance instance = startReadyInstance();
+    ScriptedReplica replica =
+        closeAfterTest(ScriptedReplica.start(FIRST_ADDRESS, Script.MALFORMED_HANDLES));
+    store.putReplica("i-2", "");
+    store.putReplica(
+        "i-9", ReplicaStandin.listEntry(replica.endpoint(), SampleTraffic.WORKER, false));
+    await(
+        () -> {
+          call(instance, "/s/x", id(), "key");
+          return !replica.received().isEmpty();
+        });
+    long startNanos = System.nanoTime();
+    RawReply reply = call(instance, "/s/x", id(), "key");
+    long millis = (System.nanoTime() - startNanos) / 1_000_000;
+    assertEquals(503, reply.status());
+    assertTrue(millis < 2_000, millis + " ms");
+  }
+
   @Test
   void malformedOrTruncatedResponsesAreFailures() throws IOException {
     Instance instance = startReadyInstance();
