Keep the event loop of an instance running after errors

The loop caught RuntimeException only.

EventLoopTest.loopContinuesAfterTaskThatThrows failed before: the tasks after a StackOverflowError did not run within 2 s. Now errors are logged like exceptions, and the loop goes on, also if logging fails.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EventLoop.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EventLoop.java
@@ -16,7 +16,8 @@
  * no locks. Tasks run in the order in which they are posted. Timers that are due run before posted
  * tasks, in the order of their times.
  *
- * <p>A task that throws a {@link RuntimeException} is logged, and the loop continues.
+ * <p>A task that throws is logged, and the loop continues. This includes errors such as an
+ * exhausted stack or heap: without the loop, the instance would accept requests and answer none.
  */
 final class EventLoop implements AutoCloseable {
 
@@ -105,12 +106,20 @@
       }
       try {
         task.run();
-      } catch (RuntimeException e) {
-        LOG.error(KeyValueLine.event("task-failed").with("error", e), e);
+      } catch (RuntimeException | Error e) {
+        logFailure(e);
       }
     }
   }
 
+  private static void logFailure(Throwable failure) {
+    try {
+      LOG.error(KeyValueLine.event("task-failed").with("error", failure), failure);
+    } catch (RuntimeException | Error e) {
+      // Logging needs stack and heap too; the loop must go on without it.
+    }
+  }
+
   /** Waits for the next task and removes it. Returns null if the loop is closed or interrupted. */
   private Runnable takeNext() {
     lock.lock();
