Record an attempt before it is sent

Had that call thrown, the request would have counted as not sent, and an exception of one request in the rejection of all unsent ones at the end of a shutdown would have left the others without a response. Neither has been seen, and no test can make the client throw there.

The attempt is recorded first now, so that it counts as sent unless it can be revoked, and each rejection runs as a step of its request. ExecutionRecordTest holds the rule.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -30,6 +30,7 @@
 import org.arbutusspar.core.stage.StageResult;
 import org.arbutusspar.io.KeyValueLine;
 import org.arbutusspar.io.http.HeaderField;
+import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.ClientRequest;
 
@@ -374,22 +375,17 @@
             context.engines().placerOf(request.id()),
             "parts",
             isModelEngine() ? request.sharedParts() : List.of());
-    attempt =
-        UpstreamAttempt.start(
-            context,
-            this,
-            request,
-            request.callTo(
-                replica,
-                body,
-                remainingMillis() - RESPONSE_MARGIN_MILLIS / 2,
-                keyOwner.map(KeyOwner::workspace),
-                enginePriority,
-                stageResults),
+    RawCall call =
+        request.callTo(
             replica,
-            route.kind(),
-            exchange);
-    execution.onStarted(attempt::revoke);
+            body,
+            remainingMillis() - RESPONSE_MARGIN_MILLIS / 2,
+            keyOwner.map(KeyOwner::workspace),
+            enginePriority,
+            stageResults);
+    attempt = UpstreamAttempt.create(context, this, request, replica, route.kind(), exchange);
+    execution.onStarted(attempt);
+    attempt.send(call);
   }
 
   private int priority() {
@@ -524,6 +520,10 @@
    * shutdown, when the request could no longer be served.
    */
   void rejectUnsent() {
+    runStep(this::rejectIfUnsent);
+  }
+
+  private void rejectIfUnsent() {
     if (!ended && exchange.isUnanswered() && !execution.mayHaveRun()) {
       respondAndEnd(SERVICE_UNAVAILABLE, "leaving");
     }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.commons.lang3.Strings;
 import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.placement.ExecutionRecord;
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.RouteKind;
@@ -27,7 +28,7 @@
  * request can be retried. The response arrives on threads of the HTTP client; the owner is called
  * on the event loop.
  */
-final class UpstreamAttempt implements RawListener {
+final class UpstreamAttempt implements RawListener, ExecutionRecord.Attempt {
 
   /**
    * Maximum number of bytes of a response to buffer. A larger valid response is forwarded part by
@@ -58,7 +59,7 @@
   private final ClientExchange exchange;
   private final long startedAt;
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
-  private volatile RawClient.Cancellation cancellation;
+  private volatile RawClient.Cancellation cancellation = reason -> {};
   private final AtomicReference<SendPhase> sendPhase = new AtomicReference<>(SendPhase.WAITING);
   private volatile UpstreamResponse response;
   private volatile BodyFraming framing;
@@ -94,37 +95,38 @@
   }
 
   /**
-   * Starts to send a request to a replica.
+   * Returns an attempt that has not been sent.
    *
    * @param context objects shared by all requests, not null
    * @param owner notified of the progress of the attempt, not null
    * @param request the request, not null
-   * @param call the call that forwards the request, not null
    * @param replica the replica, not null
    * @param kind kind of the request's route, not null
    * @param exchange exchange with the client that receives the response, not null
    * @return the attempt
    */
-  static UpstreamAttempt start(
+  static UpstreamAttempt create(
       RequestContext context,
       Owner owner,
       ClientRequest request,
-      RawCall call,
       UpstreamReplica replica,
       RouteKind kind,
       ClientExchange exchange) {
-    UpstreamAttempt attempt = new UpstreamAttempt(context, owner, request, replica, kind, exchange);
-    context.replicas().onSent(replica);
-    attempt.cancellation = context.client().send(call, attempt);
-    return attempt;
+    return new UpstreamAttempt(context, owner, request, replica, kind, exchange);
   }
 
   /**
-   * Prevents the request from being sent, unless sending has started.
+   * Starts to send the request to the replica.
    *
-   * @return true if no byte has been or will be sent
+   * @param call the call that forwards the request, not null
    */
-  boolean revoke() {
+  void send(RawCall call) {
+    context.replicas().onSent(replica);
+    cancellation = context.client().send(call, this);
+  }
+
+  @Override
+  public boolean revoke() {
     return sendPhase.compareAndSet(SendPhase.WAITING, SendPhase.REVOKED)
         || sendPhase.get() == SendPhase.REVOKED;
   }
