Reset the connection if a response starts while its request is ended

Found by reading, not seen: at the deadline the event loop looks whether the client has a response and then sends its own. If the head of a replica's stream arrives between the two, the own response is dropped, the attempt is cancelled, and nobody ended the response that had started: the client waited until it gave up. No test shows it, since the window lies between two statements of two threads.

Such a response is reset now, like one that breaks off.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -590,8 +590,13 @@
     if (status == SERVICE_UNAVAILABLE) {
       fields.add(new HeaderField("Retry-After", retryAfter));
     }
-    exchange.respond(status, fields, ByteBuffer.allocate(0));
-    end(status == SERVICE_UNAVAILABLE ? "refused" : "failed", reason);
+    if (exchange.respond(status, fields, ByteBuffer.allocate(0))) {
+      end(status == SERVICE_UNAVAILABLE ? "refused" : "failed", reason);
+    } else {
+      // The response of a replica has started since, and the attempt is about to be cancelled.
+      exchange.abort(reason);
+      end("broken", reason);
+    }
   }
 
   /**
