Log and measure how far an instance is behind its peers

CatchUp keeps since when a table lacks changes that a peer has. New events copy-requested and loop-lag; configuration has bytes, source and behind_ms; table-from-fellow has bytes, applied, requests and behind_ms; request has waited_ms. New metrics arbutusspar_configuration_behind_milliseconds, arbutusspar_event_loop_lag_milliseconds, arbutusspar_malformed_configurations. The decisions are unchanged.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -102,6 +102,9 @@
   /** Maximum wait for running threads when the instance is closed, in milliseconds. */
   private static final long THREAD_STOP_TIMEOUT_MILLIS = 100;
 
+  /** Minimum time that a task waits for the event loop to be logged, in milliseconds. */
+  private static final long MIN_LOGGED_LAG_MILLIS = 200;
+
   private final PlatformSettings settings;
   private final EventLog log = EventLog.create(LOG_LINES_PER_SECOND);
   private final GatewayMetrics metrics = GatewayMetrics.create();
@@ -133,6 +136,9 @@
   private volatile boolean ready;
   private volatile StateSnapshot snapshot = StateSnapshot.NONE;
 
+  /** Time that a task waited last for the event loop, in milliseconds. */
+  private volatile long loopLagMillis;
+
   /** Configuration in force, or null before the first one. */
   private ServingState state;
 
@@ -281,6 +287,14 @@
         "arbutusspar_limited_replicas",
         "Replicas that limit the rate of the requests of all instances together",
         () -> snapshot.limitedReplicas());
+    metrics.gauge(
+        "arbutusspar_configuration_behind_milliseconds",
+        "Time for which a live peer has had changes of the configuration that this instance lacks",
+        () -> snapshot.configurationBehindMillis());
+    metrics.gauge(
+        "arbutusspar_event_loop_lag_milliseconds",
+        "Time that a task waited last for the event loop",
+        () -> loopLagMillis);
     metrics.gauge(
         "arbutusspar_ready",
         "1 if the instance takes requests of clients",
@@ -356,6 +370,7 @@
     try {
       newState = ConfigurationReader.read(configuration);
     } catch (IOException e) {
+      metrics.onMalformedConfiguration();
       log.write(
           "configuration-malformed",
           "offset",
@@ -381,7 +396,13 @@
         "offset",
         StorePosition.toText(offset),
         "routes",
-        newState.routes().routes().size());
+        newState.routes().routes().size(),
+        "bytes",
+        configuration.length,
+        "source",
+        tables.source(TableName.CONFIGURATION),
+        "behind_ms",
+        tables.behindMillis(TableName.CONFIGURATION));
   }
 
   private void onReplicas(TopicConsumer consumer, boolean changed) {
@@ -483,7 +504,20 @@
             context.retriesLeft(),
             blocks.blockedParts(),
             blocks.blockedRequests(),
-            rateLimits.inForce().size());
+            rateLimits.inForce().size(),
+            tables.behindMillis(TableName.CONFIGURATION));
+  }
+
+  /** Measures how long a task waits for the event loop, and logs it if the wait is long. */
+  private void measureLoopLag() {
+    long postedAt = loop.now();
+    loop.post(
+        () -> {
+          loopLagMillis = (long) Nanos.toMillis(loop.now() - postedAt);
+          if (loopLagMillis >= MIN_LOGGED_LAG_MILLIS) {
+            log.write("loop-lag", "ms", loopLagMillis);
+          }
+        });
   }
 
   /** Updates the own status, and sends it at once if the instance became ready or leaving. */
@@ -652,6 +686,7 @@
       tables.updateRole();
       updateStatus();
       updateSnapshot();
+      measureLoopLag();
     }
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMetrics.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/GatewayMetrics.java
@@ -24,6 +24,11 @@
           .help("Final answers to clients by outcome and reason")
           .labelNames("outcome", "reason")
           .register(registry);
+  private final Counter malformedConfigurations =
+      Counter.builder()
+          .name("arbutusspar_malformed_configurations")
+          .help("Configurations that could not be decoded, so that the one before stays in force")
+          .register(registry);
   private final Histogram responseSeconds =
       Histogram.builder()
           .name("arbutusspar_request_seconds")
@@ -90,6 +95,11 @@
     outcomes.labelValues(outcome, reason).inc();
   }
 
+  /** Counts a configuration that could not be decoded. */
+  void onMalformedConfiguration() {
+    malformedConfigurations.inc();
+  }
+
   /**
    * Records the start of a response.
    *
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -209,6 +209,8 @@
             service,
             "left_ms",
             remainingMillis(),
+            "waited_ms",
+            elapsedMillis(),
             "stages",
             request.pieceCounts());
     Optional<BlockDecision> blocked = findBlocked();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Rendezvous;
+import org.arbutusspar.core.peer.CatchUp;
 import org.arbutusspar.core.peer.FewInstancesRead;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerTable;
@@ -16,6 +18,7 @@
 import org.arbutusspar.core.peer.StoreReaders;
 import org.arbutusspar.core.peer.StoreRole;
 import org.arbutusspar.core.peer.StoreView;
+import org.arbutusspar.core.peer.TableCopy;
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.io.EventLog;
@@ -75,6 +78,7 @@
   private final EventLog log;
   private final StoreReaders readers;
   private final Map<TableName, TopicConsumer> consumers = new EnumMap<>(TableName.class);
+  private final Map<TableName, CatchUp> catchUps = new EnumMap<>(TableName.class);
   private final Set<TableName> requested = EnumSet.noneOf(TableName.class);
   private StoreRole role = StoreRole.READER;
 
@@ -118,6 +122,7 @@
       Map<TableName, TopicConsumer.Listener> listeners) {
     StoreTables tables = new StoreTables(peers, peerNetwork, loop, log, readers);
     for (TableName name : TableName.values()) {
+      tables.catchUps.put(name, CatchUp.create());
       tables.consumers.put(
           name,
           TopicConsumer.create(
@@ -127,11 +132,23 @@
               log,
               pollInterval(name),
               SharedTable.create(rowRules(name)),
-              listeners.get(name)));
+              (consumer, changed) -> tables.onRead(name, listeners.get(name), consumer, changed)));
     }
     return tables;
   }
 
+  private void onRead(
+      TableName name, TopicConsumer.Listener listener, TopicConsumer consumer, boolean changed) {
+    listener.onRead(consumer, changed);
+    if (catchUps.get(name).isBehind() && !isPeerAhead(name)) {
+      catchUps.get(name).onCaughtUp();
+    }
+  }
+
+  private boolean isPeerAhead(TableName name) {
+    return !peers.aheadOf(name, consumers.get(name).table().offset(), loop.now()).isEmpty();
+  }
+
   private static String topic(TableName name) {
     return switch (name) {
       case CONFIGURATION -> StoreClient.CONFIGURATION_TOPIC;
@@ -171,6 +188,16 @@
     return consumers.get(name).table();
   }
 
+  /** Returns what a table was last read from: "store" or the name of a peer. */
+  String source(TableName name) {
+    return consumers.get(name).source();
+  }
+
+  /** Returns for how long a table has lacked changes that a live peer has, in milliseconds. */
+  long behindMillis(TableName name) {
+    return (long) Nanos.toMillis(catchUps.get(name).behindNanos(loop.now()));
+  }
+
   /** Returns whether this instance reads the store for the whole deployment. */
   boolean isReader() {
     return role == StoreRole.READER;
@@ -209,6 +236,7 @@
     consumers.forEach(
         (name, consumer) -> {
           if (!consumer.follow(view.version(name))) {
+            catchUps.get(name).onBehind(loop.now());
             scheduleRequest(name, consumer);
           }
         });
@@ -228,9 +256,22 @@
     Optional<Peer> source =
         Rendezvous.top(sources, Peer::name, peers.self().name(), 1).stream().findFirst();
     if (source.isEmpty()) {
+      catchUps.get(name).onCaughtUp();
       requested.remove(name);
       return;
     }
+    log.write(
+        "copy-requested",
+        "peer",
+        source.get().name(),
+        "table",
+        name,
+        "offset",
+        StorePosition.toText(offset),
+        "request",
+        catchUps.get(name).onRequest(),
+        "behind_ms",
+        behindMillis(name));
     peerNetwork.send(source.get().name(), new PeerMessage.TableRequest(name, offset));
     loop.after(COPY_TIMEOUT_MILLIS, () -> request(name));
   }
@@ -245,23 +286,39 @@
     if (message instanceof PeerMessage.TableRequest request) {
       respond(peerName, request);
     } else if (message instanceof PeerMessage.TableData data) {
-      TopicConsumer consumer = consumers.get(data.table());
-      log.write(
-          "table-from-fellow",
-          "fellow",
-          peerName,
-          "table",
-          data.table(),
-          "offset",
-          StorePosition.toText(data.copy().version().offset()),
-          "own_offset",
-          StorePosition.toText(consumer.table().offset()),
-          "rows",
-          data.copy().rows().size());
-      consumer.merge(data.copy());
+      onCopy(peerName, data);
     }
   }
 
+  private void onCopy(String peerName, PeerMessage.TableData data) {
+    TableCopy copy = data.copy();
+    TopicConsumer consumer = consumers.get(data.table());
+    String ownOffset = StorePosition.toText(consumer.table().offset());
+    int requests = catchUps.get(data.table()).requests();
+    long behindMillis = behindMillis(data.table());
+    boolean applied = consumer.merge(peerName, copy);
+    log.write(
+        "table-from-fellow",
+        "fellow",
+        peerName,
+        "table",
+        data.table(),
+        "offset",
+        StorePosition.toText(copy.version().offset()),
+        "own_offset",
+        ownOffset,
+        "rows",
+        copy.rows().size(),
+        "bytes",
+        copy.rows().stream().mapToInt(row -> row.value().length).sum(),
+        "applied",
+        applied,
+        "requests",
+        requests,
+        "behind_ms",
+        behindMillis);
+  }
+
   private void respond(String peerName, PeerMessage.TableRequest request) {
     SharedTable table = table(request.table());
     if (request.table() != TableName.CONFIGURATION) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
@@ -53,6 +53,9 @@
    */
   private static final long MIN_OUTAGE_MILLIS = 600;
 
+  /** Source of what was read from the store. */
+  private static final String STORE = "store";
+
   private final String topic;
   private final StoreClient store;
   private final EventLoop loop;
@@ -73,6 +76,9 @@
   private long removalsHeldUntil;
   private boolean stopped;
 
+  /** What the table was last read from: {@link #STORE} or the name of a peer. */
+  private String source = STORE;
+
   private TopicConsumer(
       String topic,
       StoreClient store,
@@ -271,11 +277,13 @@
     }
     // Reading goes on in any case, also if a record cannot be processed.
     readAgainAfter(pollInterval.pauseMillis());
+    source = STORE;
     notifyListener(table.replace(page.records(), page.nextOffset()));
   }
 
   private void onAppended(KeyedPage page) {
     readAgainAfter(pollInterval.pauseMillis());
+    source = STORE;
     notifyListener(table.append(page.records(), page.nextOffset()));
   }
 
@@ -297,13 +305,23 @@
   /**
    * Applies the copy of a peer that has read farther; if it has not, this method does nothing.
    *
+   * @param peerName name of the peer, not null
    * @param copy the copy, not null
+   * @return whether the copy was applied
    */
-  void merge(TableCopy copy) {
+  boolean merge(String peerName, TableCopy copy) {
     boolean usable = copy.complete() || table.offset() >= 0;
-    if (usable && table.merge(copy)) {
+    boolean applied = usable && table.merge(copy);
+    if (applied) {
+      source = peerName;
       notifyListener(true);
     }
+    return applied;
+  }
+
+  /** Returns what the table was last read from: "store" or the name of a peer. */
+  String source() {
+    return source;
   }
 
   /**
