Failing tests: a version that peers announce but do not send, or send with a held removal

changesAfterHeldRemovalReachFollowers: a peer holds back a removal after an outage; a change after it is announced, but the copy is dropped by its receiver, since the offset of the copy stays before the removal.

--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/SharedTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/SharedTableTest.java
@@ -203,6 +203,24 @@
     assertEquals(Map.of("a", "1"), rows(follower));
   }
 
+  /** A version of the configuration was not taken over while its source held back a removal. */
+  @Test
+  void changesAfterHeldRemovalReachFollowers() {
+    SharedTable reader = tableAt10();
+    SharedTable follower = tableAt10();
+    reader.holdRemovals();
+    reader.append(List.of(remove("b", 10), put("a", "2", 11)), 12);
+    assertFalse(follower.follow(reader.version()));
+    for (long since : new long[] {follower.offset(), -1}) {
+      follower.merge(reader.copySince(since));
+      assertEquals(Map.of("a", "2", "b", "1"), rows(follower), "rows since " + since);
+    }
+    reader.releaseRemovals();
+    follower.merge(reader.copySince(follower.offset()));
+    assertEquals(Map.of("a", "2"), rows(follower));
+    assertEquals(12, follower.offset());
+  }
+
   @Test
   void rowThatIsBackInTimeIsNotRemoved() {
     SharedTable table = tableAt10();
--- /dev/null
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/FakePeer.java
@@ -0,0 +1,121 @@
+package org.arbutusspar.entry.gateway;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.arbutusspar.core.balancing.Endpoint;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.peer.Peer;
+import org.arbutusspar.core.peer.PeerStatus;
+import org.arbutusspar.core.peer.StoreView;
+import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.peer.TableVersion;
+import org.arbutusspar.io.link.FrameConnection;
+import org.arbutusspar.io.link.FrameHandler;
+import org.arbutusspar.io.link.FrameNetwork;
+import org.arbutusspar.io.link.PeerCodec;
+import org.arbutusspar.io.link.PeerMessage;
+
+/**
+ * An instance on a large machine that reads the store and announces its versions in heartbeats, but
+ * does not respond to requests for rows, like one whose link or event loop is overloaded.
+ */
+final class FakePeer implements AutoCloseable {
+
+  private static final long HEARTBEAT_MILLIS = 200;
+
+  /** Capacity above that of the tested instances, in percent of a core. */
+  private static final int CAPACITY = 800;
+
+  private final Peer self;
+  private final FrameNetwork network;
+  private final Set<FrameConnection> connections = ConcurrentHashMap.newKeySet();
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final AtomicInteger requests = new AtomicInteger();
+  private volatile TableVersion configuration = TableVersion.NONE;
+
+  private FakePeer(String name, Endpoint links) {
+    self = new Peer(name, 1, DataCentre.of("a"), links, links, CAPACITY);
+    network = FrameNetwork.start(links, new Handler());
+    timer.scheduleAtFixedRate(
+        () -> connections.forEach(this::sendHeartbeat),
+        HEARTBEAT_MILLIS,
+        HEARTBEAT_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Starts a peer that accepts links at an endpoint. */
+  static FakePeer start(String name, Endpoint links) {
+    return new FakePeer(name, links);
+  }
+
+  Endpoint links() {
+    return self.links();
+  }
+
+  /** Sets the offset after the last change of the configuration that it announces. */
+  void announceConfiguration(long changeOffset) {
+    configuration = new TableVersion(changeOffset, changeOffset);
+  }
+
+  /** Returns the number of requests for rows of the configuration. */
+  int requests() {
+    return requests.get();
+  }
+
+  private void sendHeartbeat(FrameConnection connection) {
+    StoreView view = new StoreView(false, 0, Map.of(TableName.CONFIGURATION, configuration));
+    PeerStatus status = new PeerStatus(true, false, HEARTBEAT_MILLIS, view, Map.of(), Set.of());
+    send(connection, new PeerMessage.Heartbeat(status));
+  }
+
+  private static void send(FrameConnection connection, PeerMessage message) {
+    connection.send(PeerCodec.encode(message, System.nanoTime()));
+  }
+
+  private void countRequest(byte[] body) {
+    try {
+      if (PeerCodec.decode(body, System.nanoTime()) instanceof PeerMessage.TableRequest request
+          && request.table() == TableName.CONFIGURATION) {
+        requests.incrementAndGet();
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    network.close();
+  }
+
+  private final class Handler implements FrameHandler {
+    @Override
+    public void onOpen(FrameConnection connection) {
+      send(connection, new PeerMessage.Hello(self, List.of()));
+      connections.add(connection);
+    }
+
+    @Override
+    public void onFrame(FrameConnection connection, byte[] body) {
+      countRequest(body);
+    }
+
+    @Override
+    public void onClosed(FrameConnection connection, String reason) {
+      connections.remove(connection);
+    }
+
+    @Override
+    public void onFailed(Endpoint peer, String reason) {
+      // It opens no connections.
+    }
+  }
+}
