Ask other peers and read the store if a configuration is not sent in time

Callers saw requests handled as an old version allows, for as long as the peer that had announced the later one sent heartbeats but not the version.

Cause: an instance that is behind requested the copy from one peer, chosen by hashing among the same candidates, so from the same one every 600 ms, and never read the store while any peer had contact with it. A slow hub, or one whose link is busy with copies of a large configuration, so decided alone when the version was in force. The class: a bound that one peer can break.

CatchUp now asks each of the peers that have the change in turn, and from 0.5 s on the newest records are read from the store as well. Replicas are not, since a peer may hold back removals that a read would apply.

Evidence: versionIsInForceInTimeIfPeersAnnounceItButDoNotSendIt fails without the change (not in force after 2,000 ms) and passes with it.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
-import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.core.peer.CatchUp;
 import org.arbutusspar.core.peer.FewInstancesRead;
 import org.arbutusspar.core.peer.Peer;
@@ -122,7 +121,7 @@
       Map<TableName, TopicConsumer.Listener> listeners) {
     StoreTables tables = new StoreTables(peers, peerNetwork, loop, log, readers);
     for (TableName name : TableName.values()) {
-      tables.catchUps.put(name, CatchUp.create());
+      tables.catchUps.put(name, CatchUp.create(peers.self().name()));
       tables.consumers.put(
           name,
           TopicConsumer.create(
@@ -249,31 +248,51 @@
     }
   }
 
-  /** Requests missing rows from one of the peers that have them, until none has more. */
+  /**
+   * Requests missing rows from one of the peers that have them, until none has more. If they have
+   * been missing for too long, the store is read as well.
+   */
   private void request(TableName name) {
-    long offset = consumers.get(name).table().offset();
-    List<Peer> sources = peers.aheadOf(name, offset, loop.now());
-    Optional<Peer> source =
-        Rendezvous.top(sources, Peer::name, peers.self().name(), 1).stream().findFirst();
+    CatchUp catchUp = catchUps.get(name);
+    TopicConsumer consumer = consumers.get(name);
+    List<Peer> sources = peers.aheadOf(name, consumer.table().offset(), loop.now());
+    Optional<String> source = catchUp.nextSource(PeerTable.names(sources));
     if (source.isEmpty()) {
-      catchUps.get(name).onCaughtUp();
+      catchUp.onCaughtUp();
       requested.remove(name);
       return;
     }
+    requestFrom(source.get(), name);
+    if (catchUp.needsStore(loop.now()) && isReadWhenLate(name)) {
+      consumer.readNewestOnce();
+    }
+    loop.after(COPY_TIMEOUT_MILLIS, () -> request(name));
+  }
+
+  /**
+   * Returns whether the store is read if peers do not send the missing rows of a table in time.
+   * Only the configuration has a time limit, and for the other tables the peers may be holding back
+   * removals that a read would apply.
+   */
+  private static boolean isReadWhenLate(TableName name) {
+    return name == TableName.CONFIGURATION;
+  }
+
+  private void requestFrom(String peerName, TableName name) {
+    long offset = consumers.get(name).table().offset();
     log.write(
         "copy-requested",
         "peer",
-        source.get().name(),
+        peerName,
         "table",
         name,
         "offset",
         StorePosition.toText(offset),
         "request",
-        catchUps.get(name).onRequest(),
+        catchUps.get(name).requests(),
         "behind_ms",
         behindMillis(name));
-    peerNetwork.send(source.get().name(), new PeerMessage.TableRequest(name, offset));
-    loop.after(COPY_TIMEOUT_MILLIS, () -> request(name));
+    peerNetwork.send(peerName, new PeerMessage.TableRequest(name, offset));
   }
 
   /**
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
@@ -151,6 +151,18 @@
     return role != StoreRole.FOLLOWER;
   }
 
+  /**
+   * Reads the newest records once, also in the role of a follower. Has no effect while a call is in
+   * progress or scheduled.
+   */
+  void readNewestOnce() {
+    if (idle && !stopped) {
+      idle = false;
+      log.write("store-read-late", "topic", topic, "offset", StorePosition.toText(table.offset()));
+      readNewest();
+    }
+  }
+
   private void read() {
     if (table.offset() < 0) {
       readNewest();
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/LateConfigurationTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/LateConfigurationTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.arbutusspar.core.balancing.Endpoint;
+import org.arbutusspar.core.peer.StorePosition;
 import org.arbutusspar.platform.standin.SampleTraffic;
 import org.junit.jupiter.api.Test;
 
@@ -15,6 +16,9 @@
   /** Number of instances that read the store for the whole deployment. */
   private static final int READERS = 3;
 
+  /** Era that the stand-in of the store states at first. */
+  private static final long STORE_ERA = 1;
+
   private int sent;
 
   private boolean accepts(Instance instance, String key) {
@@ -37,7 +41,7 @@
     // The instance stops reading the store once the others announce that they reach it.
     sleep(2_000);
     store.putConfiguration(SampleTraffic.configuration(2, "new"));
-    readers.forEach(reader -> reader.announceConfiguration(2));
+    readers.forEach(reader -> reader.announceConfiguration(StorePosition.of(STORE_ERA, 2)));
     await(() -> accepts(instance, "new"), MAX_APPLY_MILLIS);
     assertTrue(readers.stream().anyMatch(reader -> reader.requests() > 0));
   }
