Take over changes that a peer announces behind a removal it holds back

Callers could see an old version for up to 2.6 s more at instances that copy from a peer which had just regained the store.

Cause: while a peer holds back removals after an outage, the offset of its table stays before them, so that they reach others later. Rows changed after them were announced by its change offset, requested, sent, and dropped by SharedTable.merge, since the offset of the copy was not beyond the own one. Requests went to the same peer again. The same held for a page of newest records that is newer than its end.

Such rows are now applied if they are newer than what the table has read in the same era; the offset stays, so the removals still come when they are released. changesAfterHeldRemovalReachFollowers failed before (the change was missing); StoreReturnFuzzTest and the other tests of the table pass.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
@@ -291,16 +291,18 @@
   }
 
   /**
-   * Applies the copy of a peer that has read farther; otherwise has no effect.
+   * Applies the copy of a peer that has read farther. Of the copy of a peer that holds back
+   * removals, only the rows that this table lacks are applied, since its offset does not pass the
+   * removals.
    *
    * @param copy rows that changed since the offset of this table or an earlier one, or all rows;
    *     not null
-   * @return whether the copy was applied
+   * @return whether anything of the copy was applied
    */
   public boolean merge(TableCopy copy) {
     Validate.isTrue(copy.complete() || nextOffset >= 0, "an empty table needs a complete copy");
     if (copy.version().offset() <= nextOffset) {
-      return false;
+      return mergeNewerRows(copy);
     }
     boolean returned = StorePosition.isLaterEra(copy.version().offset(), nextOffset);
     if (copy.complete() && returned) {
@@ -330,6 +332,28 @@
     return true;
   }
 
+  /**
+   * Applies the rows of a copy that are newer than what this table has read, and leaves its offset
+   * as it is.
+   */
+  private boolean mergeNewerRows(TableCopy copy) {
+    boolean changed = false;
+    for (TableCopy.Row row : copy.rows()) {
+      Row current = rows.get(row.key());
+      boolean unread =
+          row.offset() >= nextOffset
+              && StorePosition.era(row.offset()) == StorePosition.era(nextOffset);
+      if (unread && (current == null || current.newestAt < row.offset())) {
+        rows.put(row.key(), new Row(row.value(), row.offset()));
+        removals.remove(row.key());
+        heldRemovals.remove(row.key());
+        markChanged(row.offset());
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
   /** Removes the rows that a complete copy lacks, and remembers them as removed. */
   private void retainRows(TableCopy copy) {
     Set<String> copied = new HashSet<>();
