Keep a link open while a large message arrives on it

Cause: a link counted as silent if no heartbeat came for 2.5 intervals, also while bytes of a large message arrived, behind which heartbeats waited. It was closed and dialed again, and the message had to be sent from its start. A hub with 7 Mbit/s sends 24 copies of a configuration of 313 KB (1,449 routes, measured) in 8 s, so that no copy would arrive, and all instances lose their hubs and the roles on them each second.

A peer is live now while any bytes of it arrive. The age of what it said of the store still grows, so that instances read the store meanwhile.

linkStaysOpenWhileLargeMessageArrives failed before (closed after 1 s).

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerTable.java
@@ -19,10 +19,10 @@
 /**
  * The known peers of this instance, with the status and the time of their last heartbeats.
  *
- * <p>A peer is live while its link is up and its last heartbeat is younger than the liveness
- * timeout, a multiple of the interval that the peer announces. This instance has links to the hubs
- * that its {@link Topology} selects, and to the instances that selected this one. What it knows of
- * the other ones is what hubs report. Not thread-safe.
+ * <p>A peer is live while its link is up and the last bytes from it are younger than the liveness
+ * timeout, a multiple of the interval of heartbeats that the peer announces. This instance has
+ * links to the hubs that its {@link Topology} selects, and to the instances that selected this one.
+ * What it knows of the other ones is what hubs report. Not thread-safe.
  */
 public final class PeerTable {
 
@@ -150,6 +150,7 @@
       entry.status = status;
       recordWaits(status, now);
       entry.lastHeartbeatNanos = now;
+      entry.lastReceivedNanos = now;
       entry.connected = true;
       entry.failed = false;
     }
@@ -163,6 +164,20 @@
     }
   }
 
+  /**
+   * Records when bytes of a peer were last received. A heartbeat may wait behind a large message,
+   * so a peer also counts as live while any bytes arrive.
+   *
+   * @param name name of the peer, not null
+   * @param receivedNanos monotonic time of the last bytes, in nanoseconds
+   */
+  public void onReceived(String name, long receivedNanos) {
+    Entry entry = entries.get(name);
+    if (entry != null) {
+      entry.lastReceivedNanos = receivedNanos;
+    }
+  }
+
   /**
    * Handles the end of the link to a peer. The peer is not live until its next heartbeat.
    *
@@ -274,7 +289,8 @@
 
   private boolean isLive(Entry entry, long now) {
     double timeoutMillis = LIVENESS_TIMEOUT_INTERVALS * entry.status.heartbeatMillis();
-    return entry.connected && Nanos.toMillis(now - entry.lastHeartbeatNanos) < timeoutMillis;
+    long silentNanos = Math.min(now - entry.lastHeartbeatNanos, now - entry.lastReceivedNanos);
+    return entry.connected && Nanos.toMillis(silentNanos) < timeoutMillis;
   }
 
   /** Returns whether hubs report an instance as live. */
@@ -544,6 +560,10 @@
     private final Peer peer;
     private PeerStatus status = PeerStatus.UNKNOWN;
     private long lastHeartbeatNanos;
+
+    /** Monotonic time at which any bytes were last received, in nanoseconds. */
+    private long lastReceivedNanos;
+
     private boolean connected;
 
     /** Whether the last attempt to connect failed or the link went down. */
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/PeerTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/PeerTableTest.java
@@ -60,6 +60,21 @@
     return table;
   }
 
+  /**
+   * Links were closed in the middle of a large configuration, which then had to be sent again,
+   * since heartbeats waited behind it. What the peer last said of the store still grows old.
+   */
+  @Test
+  void peerWhoseHeartbeatsWaitBehindLargeMessageIsLive() {
+    PeerTable table = table(1, 1);
+    long now = Nanos.ofMillis(1_500);
+    assertFalse(table.isLive("e2", now));
+    table.onReceived("e2", Nanos.ofMillis(1_400));
+    assertTrue(table.isLive("e2", now));
+    assertEquals(Nanos.ofMillis(1_100), table.storeContactAge(now));
+    assertFalse(table.isLive("e2", Nanos.ofMillis(2_500)));
+  }
+
   @Test
   void instancesThatKnowTheSamePeersAgreeOnTheBatcher() {
     Set<String> chosen = new HashSet<>();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PeerNetwork.java
@@ -107,6 +107,8 @@
 
   private void tick() {
     long now = loop.now();
+    connections.forEach(
+        (name, connection) -> table.onReceived(name, connection.lastReceivedNanos()));
     for (String name : List.copyOf(connections.keySet())) {
       if (!table.isLive(name, now)) {
         connections.get(name).close("silent");
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/LateConfigurationTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/LateConfigurationTest.java
@@ -2,11 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import org.arbutusspar.core.balancing.Endpoint;
+import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.peer.Peer;
+import org.arbutusspar.core.peer.PeerStatus;
 import org.arbutusspar.core.peer.StorePosition;
+import org.arbutusspar.io.link.PeerCodec;
+import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.standin.SampleTraffic;
 import org.junit.jupiter.api.Test;
 
@@ -45,4 +55,49 @@
     await(() -> accepts(instance, "new"), MAX_APPLY_MILLIS);
     assertTrue(readers.stream().anyMatch(reader -> reader.requests() > 0));
   }
+
+  /**
+   * A link was closed in the middle of a large message, since heartbeats waited behind it. Each
+   * further attempt began anew, so that the message never arrived.
+   */
+  @Test
+  void linkStaysOpenWhileLargeMessageArrives() throws Exception {
+    Endpoint links = freeEndpoint("127.0.0.11");
+    try (ServerSocket server = new ServerSocket(links.port(), 1, address(links))) {
+      startInstance("e-1", FIRST_ADDRESS, List.of(links));
+      try (Socket socket = server.accept()) {
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        Peer self = new Peer("r-1", 1, DataCentre.of("a"), links, links, 800);
+        writeFrame(out, new PeerMessage.Hello(self, List.of()));
+        writeFrame(out, new PeerMessage.Heartbeat(PeerStatus.UNKNOWN));
+        out.writeInt(1 << 20);
+        socket.setSoTimeout(1);
+        long end = System.nanoTime() + 3_000_000_000L;
+        while (System.nanoTime() - end < 0) {
+          out.write(new byte[1_000]);
+          sleep(100);
+          assertTrue(isOpen(socket), "closed by the instance");
+        }
+      }
+    }
+  }
+
+  private static InetAddress address(Endpoint endpoint) throws IOException {
+    return InetAddress.getByName(endpoint.host());
+  }
+
+  private static void writeFrame(DataOutputStream out, PeerMessage message) throws IOException {
+    byte[] body = PeerCodec.encode(message, 0);
+    out.writeInt(body.length);
+    out.write(body);
+  }
+
+  /** Returns whether the other side has not closed a connection; discards what it has sent. */
+  private static boolean isOpen(Socket socket) throws IOException {
+    try {
+      return socket.getInputStream().read(new byte[64 * 1_024]) >= 0;
+    } catch (SocketTimeoutException e) {
+      return true;
+    }
+  }
 }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameConnection.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/FrameConnection.java
@@ -46,6 +46,9 @@
 
   private volatile boolean closed;
 
+  /** Monotonic time at which bytes were last received, in nanoseconds. */
+  private volatile long lastReceivedNanos = System.nanoTime();
+
   FrameConnection(FrameNetwork network, SocketChannel channel, Endpoint peer, boolean outgoing) {
     this.network = network;
     this.channel = channel;
@@ -80,6 +83,11 @@
     return closed;
   }
 
+  /** Returns the monotonic time at which bytes were last received, in nanoseconds. */
+  public long lastReceivedNanos() {
+    return lastReceivedNanos;
+  }
+
   boolean wasConnected() {
     return connected;
   }
@@ -162,6 +170,7 @@
       network.drop(this, "closed by peer");
       return;
     }
+    lastReceivedNanos = System.nanoTime();
     in.flip();
     while (!closed && in.remaining() >= LENGTH_BYTES) {
       int length = in.getInt(in.position());
