--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -26,10 +26,12 @@
 import org.arbutusspar.core.stage.PieceOutcome;
 import org.arbutusspar.core.stage.QueueWait;
 import org.arbutusspar.core.stage.StageResult;
+import org.msgpack.core.ExtensionTypeHeader;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 
 /**
  * Encodes {@link PeerMessage}s in MessagePack: the type number of the message, then its fields in
@@ -60,6 +62,12 @@
   /** Written for a replica that no longer states a limit. */
   private static final double NO_LIMIT = -1;
 
+  /** Extension type of a compressed value. */
+  private static final byte COMPRESSED = 1;
+
+  /** Minimum size of a value that is compressed, in bytes. */
+  private static final int MIN_COMPRESSED_BYTES = 1_024;
+
   /** Maximum number of entries of an encoded list or map. */
   private static final int MAX_ITEMS = 100_000;
 
@@ -303,8 +311,8 @@
     packVersion(packer, copy.version());
     packer.packArrayHeader(copy.rows().size());
     for (TableCopy.Row row : copy.rows()) {
-      packer.packString(row.key()).packBinaryHeader(row.value().length);
-      packer.writePayload(row.value());
+      packer.packString(row.key());
+      packValue(packer, row.value());
       packer.packLong(row.offset());
     }
     packer.packArrayHeader(copy.removed().size());
@@ -313,6 +321,28 @@
     }
   }
 
+  /** Writes a value as binary data, or compressed as an extension if it is large. */
+  private static void packValue(MessageBufferPacker packer, byte[] value) throws IOException {
+    if (value.length < MIN_COMPRESSED_BYTES) {
+      packer.packBinaryHeader(value.length).writePayload(value);
+    } else {
+      byte[] compressed = CompressedBytes.compress(value);
+      packer.packExtensionTypeHeader(COMPRESSED, compressed.length).writePayload(compressed);
+    }
+  }
+
+  private static byte[] value(MessageUnpacker unpacker) throws IOException {
+    if (unpacker.getNextFormat().getValueType() != ValueType.EXTENSION) {
+      return unpacker.readPayload(unpacker.unpackBinaryHeader());
+    }
+    ExtensionTypeHeader header = unpacker.unpackExtensionTypeHeader();
+    if (header.getType() != COMPRESSED) {
+      throw new IOException("unknown extension type " + header.getType());
+    }
+    byte[] compressed = unpacker.readPayload(header.getLength());
+    return CompressedBytes.expand(compressed, FrameConnection.MAX_FRAME_BYTES);
+  }
+
   private static TableCopy copy(MessageUnpacker unpacker) throws IOException {
     return new TableCopy(
         unpacker.unpackBoolean(),
@@ -447,7 +477,7 @@
 
   private static TableCopy.Row row(MessageUnpacker unpacker) throws IOException {
     String key = unpacker.unpackString();
-    byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
+    byte[] value = value(unpacker);
     return new TableCopy.Row(key, value, unpacker.unpackLong());
   }
 
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -133,6 +135,39 @@
     assertEquals(data.copy().removed(), copy.removed());
   }
 
+  private static PeerMessage.TableData tableData(byte[] value) {
+    return new PeerMessage.TableData(
+        TableName.CONFIGURATION,
+        new TableCopy(
+            true, new TableVersion(9, 8), List.of(new TableCopy.Row("k", value, 7)), List.of()));
+  }
+
+  /** Copies of a large configuration took seconds on the links of small machines. */
+  @Test
+  void largeConfigurationTakesFewBytes() throws IOException {
+    StringBuilder routes = new StringBuilder("{\"version\":7,\"routes\":[");
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(1L);
+    for (int i = 0; i < 1_000; i++) {
+      String name = Integer.toString(random.nextInt(1 << 30), 36);
+      routes.append(
+          "{\"name\":\"r-%s\",\"path_prefix\":\"/%s/\",\"timeout_ms\":15000,\"service\":\"s\"},"
+              .formatted(name, name));
+    }
+    byte[] value = routes.toString().getBytes(StandardCharsets.UTF_8);
+    byte[] encoded = PeerCodec.encode(tableData(value), 0);
+    assertTrue(encoded.length < value.length / 3, encoded.length + " of " + value.length);
+    TableCopy copy = ((PeerMessage.TableData) PeerCodec.decode(encoded, 0)).copy();
+    assertArrayEquals(value, copy.rows().get(0).value());
+  }
+
+  /** Guards against a small message that expands until the heap is exhausted. */
+  @Test
+  void valueThatExpandsBeyondTheMaximumIsMalformed() {
+    byte[] encoded = PeerCodec.encode(tableData(new byte[FrameConnection.MAX_FRAME_BYTES + 1]), 0);
+    assertTrue(encoded.length < 1 << 20);
+    assertThrows(IOException.class, () -> PeerCodec.decode(encoded, 0));
+  }
+
   /**
    * The clocks of two instances are not synchronized. Without the conversion, the receiver would
    * compare times of the sender's clock with its own.
