Test that a header that a replica breaks off is no response

Reported by other operators: a replica stopped in the middle of the header of its response and closed, and clients got status 200 with an empty or short body. It cannot happen here: the HTTP client fails the call at the end of input within a header, and clients get 502 without a signature, on plain routes and streams.

--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/HostileReplicasAndClientsTest.java
@@ -161,6 +161,23 @@
     }
   }
 
+  /**
+   * Clients got status 200 with an empty or short body, framed as complete, since a replica closed
+   * its connection in the middle of the header of its response.
+   */
+  @ParameterizedTest
+  @EnumSource(value = Script.class, names = "CLOSED_.*", mode = EnumSource.Mode.MATCH_ALL)
+  void truncatedHeaderIsNoResponse(Script script) throws IOException {
+    Instance instance = startReadyInstance();
+    replaceEngine(instance, script);
+    for (String target : List.of("/n/x", "/s/x", "/l/x")) {
+      RawReply reply = call(instance, target, id(), "key");
+      assertEquals(502, reply.status(), target);
+      assertEquals(0, reply.body().length, target);
+      assertTrue(reply.field("X-Response-Signature").isEmpty(), target);
+    }
+  }
+
   /** A stream that broke off reached its client as complete, since its end was not marked. */
   @ParameterizedTest
   @EnumSource(
