Read only the newest configuration after a failed read

Cause: a reader asks for all records since its offset, up to 4 MB, within 1.7 s. On a link of 7 Mbit/s that is at most 1.5 MB, five versions of 313 KB. Once more are waiting, each call times out and starts anew, so that no version comes into force until the history has expired. While small machines are hubs, all readers may be in that state.

After a failed call the newest record is read instead, which has one version.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StoreTables.java
@@ -39,10 +39,11 @@
   /**
    * Timing of the reads of the configuration: long polls without a pause, so that a new
    * configuration is read as soon as it is appended. The wait bounds how late a connection that no
-   * longer responds is detected.
+   * longer responds is detected. After a failed call only the newest version is read: the records
+   * since then may hold so many large versions that each further call would time out.
    */
   private static final TopicConsumer.PollInterval CONFIGURATION_POLL_INTERVAL =
-      new TopicConsumer.PollInterval(700, 0);
+      new TopicConsumer.PollInterval(700, 0, true);
 
   /**
    * Timing of the reads of the list of replicas. Replicas append records continuously, so calls are
@@ -50,14 +51,14 @@
    * short enough for peers to rely on this instance; see {@link FewInstancesRead}.
    */
   private static final TopicConsumer.PollInterval REPLICAS_POLL_INTERVAL =
-      new TopicConsumer.PollInterval(400, 600);
+      new TopicConsumer.PollInterval(400, 600, false);
 
   /**
    * Timing of the reads of the list of instances. Instances start and stop rarely, so calls may
    * wait long.
    */
   private static final TopicConsumer.PollInterval INSTANCES_POLL_INTERVAL =
-      new TopicConsumer.PollInterval(5_000, 100);
+      new TopicConsumer.PollInterval(5_000, 100, false);
 
   /**
    * Delay of a request for rows after a heartbeat shows that they are missing, in milliseconds.
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/TopicConsumer.java
@@ -164,7 +164,7 @@
   }
 
   private void read() {
-    if (table.offset() < 0) {
+    if (table.offset() < 0 || storeUnreachable && pollInterval.newestAfterFailure()) {
       readNewest();
     } else {
       readAppended();
@@ -347,13 +347,15 @@
   }
 
   /**
-   * Timing of the calls to the store.
+   * Timing and kind of the calls to the store.
    *
    * @param waitMillis how long the store may wait for a record before it responds to a call, in
    *     milliseconds
    * @param pauseMillis pause between a response and the next call, in milliseconds
+   * @param newestAfterFailure whether the newest record of each key is read after a failed call,
+   *     instead of all records since then
    */
-  record PollInterval(long waitMillis, long pauseMillis) {}
+  record PollInterval(long waitMillis, long pauseMillis, boolean newestAfterFailure) {}
 
   /** Notified on the event loop of what a consumer reads. */
   interface Listener {
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/LateConfigurationTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/LateConfigurationTest.java
@@ -18,6 +18,7 @@
 import org.arbutusspar.io.link.PeerCodec;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.standin.SampleTraffic;
+import org.arbutusspar.platform.standin.StoreStandin;
 import org.junit.jupiter.api.Test;
 
 /** Tests that a version is in force in time at an instance that relies on peers for it. */
@@ -29,6 +30,9 @@
   /** Era that the stand-in of the store states at first. */
   private static final long STORE_ERA = 1;
 
+  /** Maximum time for a version to be in force in deployments of 60 instances or more. */
+  private static final long MAX_APPLY_MILLIS_IN_LARGE_DEPLOYMENT = 3_000;
+
   private int sent;
 
   private boolean accepts(Instance instance, String key) {
@@ -56,6 +60,22 @@
     assertTrue(readers.stream().anyMatch(reader -> reader.requests() > 0));
   }
 
+  /**
+   * An instance with a slow link never had a version in force, since it read all versions since the
+   * last one in a single call, which timed out each time.
+   */
+  @Test
+  void versionIsInForceInTimeIfReadsOfAllVersionsTimeOut() throws IOException {
+    Instance instance = startInstance("e-1", FIRST_ADDRESS, List.of());
+    await(() -> accepts(instance, "key"));
+    store.setFault(StoreStandin.Fault.READS_LOST);
+    for (int version = 2; version <= 4; version++) {
+      String key = "key-" + version;
+      store.putConfiguration(SampleTraffic.configuration(version, key));
+      await(() -> accepts(instance, key), MAX_APPLY_MILLIS_IN_LARGE_DEPLOYMENT);
+    }
+  }
+
   /**
    * A link was closed in the middle of a large message, since heartbeats waited behind it. Each
    * further attempt began anew, so that the message never arrived.
