Do not rely longer on a peer because its heartbeats are rare

Cause: the interval that a peer announces was subtracted from the age of its contact with the store. Instances that are no hubs announce 1.2 s with 72 instances and 1.8 s with 300. One that is linked only to such a peer, as after the loss of all hubs, noticed the loss of that peer 2.7 and 3.3 s after its last heartbeat, where a configuration must be in force within 3 s.

At most the interval of a hub is subtracted now, 1.9 and 2.1 s. lossOfInstanceWithRareHeartbeatsDelaysChangesByLessThanThreeSeconds failed before for 300 instances. rareHeartbeatsDoNotMakeInstancesRead combined the heartbeats of 340 instances with a full mesh of 95, which no deployment has; it now has 340 instances with hubs, and the same assertion.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/PeerTable.java
@@ -468,25 +468,29 @@
   /**
    * Returns the time since the store last answered a live peer, as far as heartbeats tell. The
    * interval of the peer's heartbeats does not count, since a later answer is not reported within
-   * it.
+   * it, but no more than the interval of a hub: the longer one of other instances would delay the
+   * detection of a lost peer beyond the time in which a change must be in force.
    *
    * @param now current monotonic time, in nanoseconds
    * @return the least time over all live peers in nanoseconds, negative if a heartbeat is not due;
    *     {@link Long#MAX_VALUE} if there is no live peer
    */
   public long storeContactAge(long now) {
+    long hubMillis = topology.heartbeatMillis(liveCount(now), true);
     return entries.values().stream()
         .filter(entry -> isLive(entry, now))
-        .mapToLong(
-            entry ->
-                now
-                    - entry.lastHeartbeatNanos
-                    + Nanos.ofMillis(
-                        entry.status.store().contactAgeMillis() - entry.status.heartbeatMillis()))
+        .mapToLong(entry -> storeContactAge(entry, hubMillis, now))
         .min()
         .orElse(Long.MAX_VALUE);
   }
 
+  private static long storeContactAge(Entry entry, long hubMillis, long now) {
+    long intervalMillis = Math.min(hubMillis, entry.status.heartbeatMillis());
+    return now
+        - entry.lastHeartbeatNanos
+        + Nanos.ofMillis(entry.status.store().contactAgeMillis() - intervalMillis);
+  }
+
   /**
    * Returns the live peers whose copy of a table has changes that this instance lacks.
    *
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/FewInstancesReadTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/FewInstancesReadTest.java
@@ -6,9 +6,11 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
@@ -98,10 +100,12 @@
   }
 
   /** Returns an instance whose peers all had their last contact at time 0, when they sent it. */
-  private static PeerTable tableWithContactAt0(long heartbeatMillis, long contactAgeMillis) {
-    PeerTable table = tables(95, Set.of()).get("e95");
+  private static PeerTable tableWithContactAt0(
+      int count, long heartbeatMillis, long contactAgeMillis) {
+    PeerTable table = PeerTable.create(peer(count), HubTopology.create());
     StoreView view = new StoreView(false, contactAgeMillis, Map.of());
-    for (int other = 1; other < 95; other++) {
+    for (int other = 1; other < count; other++) {
+      table.discover(peer(other));
       table.onHeartbeat(
           "e" + other, new PeerStatus(true, false, heartbeatMillis, view, Map.of(), Set.of()), 0);
     }
@@ -110,7 +114,7 @@
 
   @Test
   void everyInstanceReadsOnceNoPeerHasHadContactForLong() {
-    PeerTable table = tableWithContactAt0(400, 600);
+    PeerTable table = tableWithContactAt0(95, 400, 600);
     assertEquals(StoreRole.FOLLOWER, READERS.role(table, Nanos.ofMillis(880)));
     assertEquals(StoreRole.FALLBACK, READERS.role(table, Nanos.ofMillis(920)));
   }
@@ -122,7 +126,7 @@
   @Test
   void rareHeartbeatsDoNotMakeInstancesRead() {
     long heartbeatMillis = HubTopology.create().heartbeatMillis(340, true);
-    PeerTable table = tableWithContactAt0(heartbeatMillis, 1_000);
+    PeerTable table = tableWithContactAt0(340, heartbeatMillis, 1_000);
     assertEquals(StoreRole.FOLLOWER, READERS.role(table, Nanos.ofMillis(heartbeatMillis)));
   }
 
@@ -139,6 +143,34 @@
     assertTrue(delayNanos < Nanos.ofMillis(2_000), Nanos.toMillis(delayNanos) + " ms");
   }
 
+  /**
+   * Guards against a configuration that is in force too late: an instance relied on one that is no
+   * hub, whose heartbeats are rare, and which was lost right before the configuration was written.
+   * Large deployments have 3 s for it.
+   */
+  @Test
+  void lossOfInstanceWithRareHeartbeatsDelaysChangesByLessThanThreeSeconds() {
+    for (int count : new int[] {72, 300}) {
+      PeerTable table = PeerTable.create(peer(1), HubTopology.create());
+      for (int other = 2; other <= count; other++) {
+        table.discover(peer(other));
+      }
+      table.onReport("e2", reportsOf(count));
+      long leafMillis = HubTopology.create().heartbeatMillis(count, false);
+      StoreView view = new StoreView(false, 0, Map.of());
+      table.onHeartbeat("e3", new PeerStatus(true, false, leafMillis, view, Map.of(), Set.of()), 0);
+      long tickMillis = 400;
+      assertEquals(StoreRole.FALLBACK, READERS.role(table, Nanos.ofMillis(2_900 - tickMillis)));
+    }
+  }
+
+  /** Returns a report that all instances are live. */
+  private static List<PeerState> reportsOf(int count) {
+    return IntStream.rangeClosed(2, count)
+        .mapToObj(number -> new PeerState("e" + number, true, true, false))
+        .toList();
+  }
+
   @Test
   void leavingInstanceDoesNotRead() {
     Map<String, PeerTable> tables = tables(9, Set.of());
