Tell a placer that responds too late that its request is not in flight

Callers got 503 (no-replica) though engines were idle, for up to a minute at a time, of streams after all their stages had run.

Cause: an instance waits 60 ms for a placer and then chooses a replica itself. The placer handled the request later, counted it as in flight, and never heard of its end, since the instance reported that to itself. After 0.9 of the slots of each engine it found none with capacity, for 60 s.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -101,14 +101,22 @@
       return;
     }
     placerOfRequest.put(request.id(), placerName);
-    PendingRequest pending = new PendingRequest(service, request, found);
+    PendingRequest pending = new PendingRequest(service, request, placerName, found);
     pendingRequests.put(request.id(), pending);
     pending.timer = loop.after(RESPONSE_TIMEOUT_MILLIS, () -> placeLocally(pending));
   }
 
-  /** Places a request here after the placer's response timed out; a late response is ignored. */
+  /**
+   * Places a request here after the placer's response timed out; a late response is ignored. The
+   * placer, which counts the request as in flight once it has handled the message, is notified that
+   * the request is not.
+   */
   private void placeLocally(PendingRequest pending) {
     if (pendingRequests.remove(pending.request.id(), pending)) {
+      peerNetwork.send(
+          pending.placerName,
+          new PeerMessage.PlacementUpdate(
+              pending.service, pending.request.id(), PeerMessage.RunState.ENDED, ""));
       placerOfRequest.put(pending.request.id(), peers.self().name());
       pending.found.accept(place(pending.service, pending.request));
     }
@@ -246,15 +254,18 @@
   private static final class PendingRequest {
     private final String service;
     private final EnginePlacer.EngineRequest request;
+    private final String placerName;
     private final Consumer<Optional<UpstreamReplica>> found;
     private EventLoop.Timer timer;
 
     private PendingRequest(
         String service,
         EnginePlacer.EngineRequest request,
+        String placerName,
         Consumer<Optional<UpstreamReplica>> found) {
       this.service = service;
       this.request = request;
+      this.placerName = placerName;
       this.found = found;
     }
   }
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/FakePeer.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/FakePeer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +25,8 @@
 
 /**
  * An instance on a large machine that reads the store and announces its versions in heartbeats, but
- * does not respond to requests for rows, like one whose link or event loop is overloaded.
+ * does not respond to requests for rows or placements, like one whose link or event loop is
+ * overloaded.
  */
 final class FakePeer implements AutoCloseable {
 
@@ -38,6 +40,8 @@
   private final Set<FrameConnection> connections = ConcurrentHashMap.newKeySet();
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final AtomicInteger requests = new AtomicInteger();
+  private final List<PeerMessage> placements = new CopyOnWriteArrayList<>();
+  private volatile Set<String> roles = Set.of();
   private volatile TableVersion configuration = TableVersion.NONE;
 
   private FakePeer(String name, Endpoint links) {
@@ -64,6 +68,16 @@
     configuration = new TableVersion(changeOffset, changeOffset);
   }
 
+  /** Sets the roles that it announces. */
+  void announceRoles(Set<String> held) {
+    roles = held;
+  }
+
+  /** Returns the requests to place a request and the updates on placements, in order. */
+  List<PeerMessage> placements() {
+    return placements;
+  }
+
   /** Returns the number of requests for rows of the configuration. */
   int requests() {
     return requests.get();
@@ -71,7 +85,7 @@
 
   private void sendHeartbeat(FrameConnection connection) {
     StoreView view = new StoreView(false, 0, Map.of(TableName.CONFIGURATION, configuration));
-    PeerStatus status = new PeerStatus(true, false, HEARTBEAT_MILLIS, view, Map.of(), Set.of());
+    PeerStatus status = new PeerStatus(true, false, HEARTBEAT_MILLIS, view, Map.of(), roles);
     send(connection, new PeerMessage.Heartbeat(status));
   }
 
@@ -79,11 +93,15 @@
     connection.send(PeerCodec.encode(message, System.nanoTime()));
   }
 
-  private void countRequest(byte[] body) {
+  private void record(byte[] body) {
     try {
-      if (PeerCodec.decode(body, System.nanoTime()) instanceof PeerMessage.TableRequest request
+      PeerMessage message = PeerCodec.decode(body, System.nanoTime());
+      if (message instanceof PeerMessage.TableRequest request
           && request.table() == TableName.CONFIGURATION) {
         requests.incrementAndGet();
+      } else if (message instanceof PeerMessage.PlaceRequest
+          || message instanceof PeerMessage.PlacementUpdate) {
+        placements.add(message);
       }
     } catch (IOException e) {
       throw new IllegalStateException(e);
@@ -105,7 +123,7 @@
 
     @Override
     public void onFrame(FrameConnection connection, byte[] body) {
-      countRequest(body);
+      record(body);
     }
 
     @Override
