Interfaces of the parts for capacity that changes under load

Cause: replicas that share their machines state a fourth figure in their load, and each such report was dropped as malformed; nothing read how long a replica stays cold, the warm-up of a service, the memory of engines, or whether the deployment's rules on callers that compete for capacity are in force.

An entry of the list counts as changed if its replica has become warm, or cold again, not as the remaining time passes.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
@@ -118,6 +118,8 @@
         List.of(),
         endpoints.get(4),
         100,
-        new PlatformSettings.Bounds(8_000, 0.2, 10_000, 50, 5_000));
+        256_000_000,
+        false,
+        new PlatformSettings.Bounds(8_000, 0.2, 10_000, 50, 5_000, 1, 0));
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ReplicaRules.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ReplicaRules.java
@@ -15,7 +15,22 @@
   @Override
   public boolean sameContent(byte[] current, byte[] value) {
     return Arrays.equals(current, value)
-        || ReplicaReader.read("", current).equals(ReplicaReader.read("", value));
+        || repeats(ReplicaReader.read("", current), ReplicaReader.read("", value));
+  }
+
+  /**
+   * Returns whether an entry says nothing new. The time that a cold replica has left passes with
+   * each heartbeat, so it is new only if the replica has become warm, or cold again.
+   */
+  private static boolean repeats(
+      Optional<UpstreamReplica> current, Optional<UpstreamReplica> value) {
+    if (current.isEmpty() || value.isEmpty()) {
+      return current.equals(value);
+    }
+    long knownMillis = current.get().warmUpMillis();
+    long millis = value.get().warmUpMillis();
+    return current.get().equals(value.get().withWarmUp(knownMillis))
+        && (millis == knownMillis || millis > 0 && millis < knownMillis);
   }
 
   @Override
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -117,7 +117,9 @@
             seeds,
             storeEndpoint,
             100,
-            new PlatformSettings.Bounds(shutdownMillis, 0.2, 10_000, 50, 5_000));
+            256_000_000,
+            false,
+            new PlatformSettings.Bounds(shutdownMillis, 0.2, 10_000, 50, 5_000, 1, 0));
     return new Instance(closeAfterTest(Gateway.start(settings)), settings);
   }
 
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/RowRulesTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/RowRulesTest.java
@@ -59,4 +59,23 @@
     assertOrder(new InstanceRules(), announcement(7), announcement(8));
     assertOrder(new InstanceRules(), decision(7), decision(8));
   }
+
+  private static byte[] coldReplica(long warmUpMillis) {
+    String entry = new String(replica(false, 1), UTF_8);
+    return entry
+        .replace("\"born\":1", "\"born\":1,\"warmup_left_ms\":" + warmUpMillis)
+        .getBytes(UTF_8);
+  }
+
+  /** Each heartbeat of a cold replica states less time; passing all of them on would cost much. */
+  @Test
+  void replicaChangesAsItGetsWarmOrColdAgain() {
+    RowRules rules = new ReplicaRules();
+    assertTrue(rules.sameContent(coldReplica(3_000), coldReplica(1_800)));
+    assertFalse(rules.sameContent(coldReplica(600), coldReplica(0)));
+    assertFalse(rules.sameContent(coldReplica(0), coldReplica(3_000)));
+    assertFalse(rules.sameContent(coldReplica(600), coldReplica(3_000)));
+    assertFalse(rules.sameContent(coldReplica(600), replica(true, 1)));
+    assertFalse(rules.sameContent(coldReplica(600), MALFORMED));
+  }
 }
