Limits of plain services by stated queues, and return times by room

Cause: services whose replicas queue requests were bounded a replica at a time by each instance's own estimate, without rank or deadline, so that a burst of one kind made the requests of all kinds late; rejected clients returned at a time drawn at random, when their response could no longer be in time.

Change: PlainServiceLimit decides at each instance by the queues that replicas state in their responses: by target, deadline and rank, and by whether a request exceeds the usual load of its kind (UsualLoad). What cannot be answered before its deadline is rejected at once. ReturnTimes chooses when clients return: while they can be in time, else when any instance can tell them from new requests and admits them first. Both only where PlatformSettings.contended().

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -227,6 +227,20 @@
    * @return the replica, or empty if every permitted replica is at capacity
    */
   public Optional<UpstreamReplica> choose(PlacementRequest request, Placement placement, long now) {
+    return choose(request, placement, QUEUE_PER_SLOT, now);
+  }
+
+  /**
+   * Chooses a replica for a request from those whose queue is short enough.
+   *
+   * @param request properties of the request, not null
+   * @param placement policy that chooses among the candidates, not null
+   * @param queuePerSlot number of queued requests for each slot at which a replica is at capacity
+   * @param now current monotonic time, in nanoseconds
+   * @return the replica, or empty if every permitted replica is at capacity
+   */
+  public Optional<UpstreamReplica> choose(
+      PlacementRequest request, Placement placement, double queuePerSlot, long now) {
     List<UpstreamReplica> listed =
         notLeaving(request.service()).stream()
             .filter(replica -> !request.excluded().contains(replica.id()))
@@ -238,14 +252,14 @@
     List<Placement.Candidate> candidates =
         (enoughHealthy ? healthy : listed)
             .stream()
-                .filter(replica -> hasCapacity(replica, now))
+                .filter(replica -> hasCapacity(replica, queuePerSlot, now))
                 .map(replica -> candidate(replica, now))
                 .toList();
     return placement.choose(request, candidates).map(Placement.Candidate::replica);
   }
 
-  private boolean hasCapacity(UpstreamReplica replica, long now) {
-    double capacity = Math.max(1, replica.slots()) * (1 + QUEUE_PER_SLOT);
+  private boolean hasCapacity(UpstreamReplica replica, double queuePerSlot, long now) {
+    double capacity = Math.max(1, replica.slots()) * (1 + queuePerSlot);
     return load(replica).estimate(now) < capacity;
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -47,6 +47,9 @@
   /** Retry-After of an instance that has just started, is full or is leaving, in seconds. */
   private static final String RETRY_AFTER_SECONDS = "0.4";
 
+  /** Retry-After of an instance that is full or leaving while others may have room, in seconds. */
+  private static final String RETRY_ELSEWHERE_SECONDS = "0.05";
+
   private final RequestContext context;
   private final AtomicInteger active = new AtomicInteger();
   private final AtomicLong bufferedBodyBytes = new AtomicLong();
@@ -234,11 +237,18 @@
     context.metrics().onOutcome("rejected", "status-" + status);
     List<HeaderField> fields =
         status == SERVICE_UNAVAILABLE
-            ? List.of(new HeaderField("Retry-After", RETRY_AFTER_SECONDS))
+            ? List.of(new HeaderField("Retry-After", retryAfterSeconds()))
             : List.of();
     exchange.respond(status, fields, ByteBuffer.allocate(0));
   }
 
+  /** Returns when a rejected client returns; it may be served by another instance. */
+  private String retryAfterSeconds() {
+    return context.contention().isPresent() && state != null
+        ? RETRY_ELSEWHERE_SECONDS
+        : RETRY_AFTER_SECONDS;
+  }
+
   private static List<HeaderField> headerFields(Request request) {
     List<HeaderField> fields = new ArrayList<>(request.getHeaders().size());
     for (HttpField field : request.getHeaders()) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -188,6 +188,9 @@
             pieces,
             peers,
             settings.bounds(),
+            settings.contended()
+                ? Optional.of(ContendedServices.create(replicas, peers))
+                : Optional.empty(),
             log,
             metrics);
     clients = new ClientHandler(context);
@@ -270,6 +273,15 @@
         "Expected wait of a new piece, for each service gathered here",
         "service",
         () -> snapshot.queueWaitMillis());
+    context
+        .contention()
+        .ifPresent(
+            contention ->
+                metrics.gauges(
+                    "arbutusspar_service_wait_milliseconds",
+                    "Expected wait for a slot of a service whose replicas queue requests",
+                    "service",
+                    contention::waitsMillis));
     metrics.gauges(
         "arbutusspar_repeats_left",
         "Requests that may be sent to a service once more now",
@@ -492,6 +504,7 @@
 
   /** Copies the state of the loop for gauges, which are read by other threads. */
   private void updateSnapshot() {
+    context.contention().ifPresent(contention -> contention.updateWaits(loop.now()));
     Map<String, Integer> waits = new HashMap<>();
     peers.ownStatus().waits().forEach((service, wait) -> waits.put(service, wait.millis(false)));
     snapshot =
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -34,6 +34,8 @@
  * @param pieces dispatches the pieces of stages to their batchers
  * @param peers this instance and its peers
  * @param bounds time limits and retry budget settings
+ * @param contention limits of services whose callers compete for capacity; empty on deployments
+ *     without rules for that
  * @param retryBudgets retry budgets by service
  * @param forecastCorrections corrections of the forecast stage times, by route
  * @param retryDetectors detectors of client retries, by route
@@ -52,6 +54,7 @@
     PieceDispatcher pieces,
     PeerTable peers,
     PlatformSettings.Bounds bounds,
+    Optional<ContendedServices> contention,
     Map<String, WindowedRetryBudget> retryBudgets,
     Map<String, ForecastCorrection> forecastCorrections,
     Map<String, ClientRetryDetector> retryDetectors,
@@ -73,6 +76,7 @@
       PieceDispatcher pieces,
       PeerTable peers,
       PlatformSettings.Bounds bounds,
+      Optional<ContendedServices> contention,
       EventLog log,
       GatewayMetrics metrics) {
     return new RequestContext(
@@ -87,6 +91,7 @@
         pieces,
         peers,
         bounds,
+        contention,
         new HashMap<>(),
         new HashMap<>(),
         new HashMap<>(),
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -17,9 +17,12 @@
 import org.arbutusspar.core.placement.BlockDecision;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ExecutionRecord;
+import org.arbutusspar.core.placement.Placement;
 import org.arbutusspar.core.placement.PlacementRequest;
+import org.arbutusspar.core.placement.PlainServiceLimit;
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.RetryRules;
+import org.arbutusspar.core.placement.ReturnTimes;
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.KeyOwner;
@@ -115,6 +118,15 @@
    */
   private final ExecutionRecord execution = ExecutionRecord.create();
 
+  /** Whether the client has probably been rejected before, as far as that matters. */
+  private boolean isClientRetry;
+
+  /** Queue that the request may join at a replica, for each slot; empty for the usual one. */
+  private OptionalDouble maxQueuePerSlot = OptionalDouble.empty();
+
+  /** Time after which there may be room for the request once it is rejected, 0 if unknown. */
+  private double roomMillis;
+
   private boolean ended;
 
   /** The last attempt; null before the first one. */
@@ -219,7 +231,7 @@
     } else if (isBackoffPastDeadline()) {
       fail("backoff");
     } else if (route.stages().isEmpty()) {
-      dispatch();
+      admitWithoutStages();
     } else if (exchange.isDisconnected()) {
       onClientDisconnect();
     } else {
@@ -246,10 +258,66 @@
     }
   }
 
+  /** Dispatches a request without stages, if its service has room for it. */
+  private void admitWithoutStages() {
+    if (context.contention().isEmpty() || isModelEngine()) {
+      dispatch();
+      return;
+    }
+    isClientRetry =
+        context.isClientRetry(
+            route.name(), request.clientTimeoutMillis().orElse(DEFAULT_CLIENT_TIMEOUT_MILLIS));
+    PlainServiceLimit.Decision decision =
+        context
+            .contention()
+            .get()
+            .admit(
+                service,
+                new PlainServiceLimit.Request(
+                    route.name(),
+                    priority(),
+                    route.targetMillis() - elapsedMillis(),
+                    remainingMillis() - RESPONSE_MARGIN_MILLIS,
+                    isClientRetry,
+                    draw()),
+                context.loop().now());
+    maxQueuePerSlot = OptionalDouble.of(decision.maxQueuePerSlot());
+    if (decision.verdict() == PlainServiceLimit.Verdict.TAKE) {
+      dispatch();
+    } else {
+      rejectWithoutRoom(decision);
+    }
+  }
+
+  private void rejectWithoutRoom(PlainServiceLimit.Decision decision) {
+    context
+        .log()
+        .write(
+            "service-admission",
+            "id",
+            request.id(),
+            "service",
+            service,
+            "verdict",
+            decision.verdict(),
+            "wait_ms",
+            Math.round(decision.waitMillis()),
+            "max_wait_ms",
+            Math.round(decision.maxWaitMillis()),
+            "left_ms",
+            remainingMillis(),
+            "came_back",
+            isClientRetry);
+    roomMillis = Math.max(0, decision.waitMillis() - decision.maxWaitMillis());
+    fail(decision.verdict().name().toLowerCase(Locale.ROOT));
+  }
+
   private void startStages() {
     StageRun run = StageRun.create(context, state, request, route, arrivedAt, deadline, this);
     stageRun = Optional.of(run);
     StageAdmission.Verdict verdict = run.admit();
+    isClientRetry = run.isClientRetry();
+    roomMillis = run.excessWaitMillis();
     if (verdict == StageAdmission.Verdict.TAKE) {
       run.start(chooseReplica().map(UpstreamReplica::dataCentre));
     } else {
@@ -343,9 +411,11 @@
     PlacementRequest placementRequest =
         new PlacementRequest(
             service, request.promptKey(), triedReplicas, Rendezvous.hash(request.id()));
-    return context
-        .replicas()
-        .choose(placementRequest, context.placement(isModelEngine()), context.loop().now());
+    Placement placement = context.placement(isModelEngine());
+    long now = context.loop().now();
+    return maxQueuePerSlot.isPresent()
+        ? context.replicas().choose(placementRequest, placement, maxQueuePerSlot.getAsDouble(), now)
+        : context.replicas().choose(placementRequest, placement, now);
   }
 
   private boolean isModelEngine() {
@@ -601,15 +671,41 @@
     }
   }
 
+  /** Returns the time after which the client should return, in seconds. */
+  private double retryAfterSeconds() {
+    return context
+        .contention()
+        .map(contention -> returnMillis(contention) / MILLIS_PER_SECOND)
+        .orElseGet(this::spreadRetryAfterSeconds);
+  }
+
+  private double returnMillis(ContendedServices contention) {
+    double latestInTimeMillis =
+        isClientRetry ? -1 : route.targetMillis() - elapsedMillis() - workMillis(contention);
+    return contention.returnMillis(
+        service,
+        new ReturnTimes.Rejection(remainingMillis(), latestInTimeMillis, roomMillis, draw()),
+        context.loop().now());
+  }
+
+  /** Returns the time that the work for the request takes, as far as it is known. */
+  private double workMillis(ContendedServices contention) {
+    return stageRun.map(StageRun::workMillis).orElseGet(() -> contention.workMillis(service));
+  }
+
   /**
-   * Returns the time after which the client should return, in seconds: a fraction of the remaining
-   * time, spread by the hash of the request's identifier. The maximum is never below 50 ms.
+   * Returns a time in seconds that is a fraction of the remaining time, spread by the hash of the
+   * request's identifier. The maximum is never below 50 ms.
    */
-  private double retryAfterSeconds() {
+  private double spreadRetryAfterSeconds() {
     double maxSeconds =
         Math.max(0.05, remainingMillis() / MILLIS_PER_SECOND * MAX_RETRY_AFTER_SHARE);
-    double fraction = (Rendezvous.hash(request.id()) >>> 11) * 0x1.0p-53;
-    return maxSeconds * (MIN_RETRY_AFTER_FRACTION + (1 - MIN_RETRY_AFTER_FRACTION) * fraction);
+    return maxSeconds * (MIN_RETRY_AFTER_FRACTION + (1 - MIN_RETRY_AFTER_FRACTION) * draw());
+  }
+
+  /** Returns a random number from 0 to 1 that belongs to the request. */
+  private double draw() {
+    return (Rendezvous.hash(request.id()) >>> 11) * 0x1.0p-53;
   }
 
   private static String formatSeconds(double seconds) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
@@ -66,6 +66,12 @@
   /** Expected time of all stages with queue waits, before its correction for the route. */
   private final double uncorrectedForecastMillis;
 
+  /** Expected time until the response starts, without waits, in milliseconds. */
+  private double workMillis;
+
+  /** Expected wait for the stages, in milliseconds. */
+  private double waitMillis;
+
   private Optional<DataCentre> requestDataCentre = Optional.empty();
 
   /** Time at which the first result of a stage arrived, by index of the stage, in nanoseconds. */
@@ -126,12 +132,13 @@
    * @return the verdict
    */
   StageAdmission.Verdict admit() {
-    double workMillis = forecastMillis(false);
-    double waitMillis =
-        context.forecastCorrection(route.name()).apply(uncorrectedForecastMillis) - workMillis;
+    double stagesMillis = forecastMillis(false);
+    workMillis = stagesMillis + ENGINE_FIRST_EVENT_MILLIS;
+    waitMillis =
+        context.forecastCorrection(route.name()).apply(uncorrectedForecastMillis) - stagesMillis;
     StageAdmission.Verdict verdict =
         StageAdmission.decide(
-            workMillis + ENGINE_FIRST_EVENT_MILLIS,
+            workMillis,
             waitMillis,
             route.targetMillis(),
             remainingMillis(),
@@ -146,7 +153,7 @@
             "verdict",
             verdict,
             "work_ms",
-            Math.round(workMillis),
+            Math.round(stagesMillis),
             "wait_ms",
             Math.round(waitMillis),
             "target_ms",
@@ -158,6 +165,21 @@
     return verdict;
   }
 
+  /** Returns whether the client has probably sent the request before and been rejected. */
+  boolean isClientRetry() {
+    return isClientRetry;
+  }
+
+  /** Returns the expected time until the response starts, without waits, in milliseconds. */
+  double workMillis() {
+    return workMillis;
+  }
+
+  /** Returns the expected wait beyond what the target leaves, in milliseconds. */
+  double excessWaitMillis() {
+    return Math.max(0, workMillis + waitMillis - route.targetMillis());
+  }
+
   /**
    * Starts the stages whose inputs exist.
    *
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -181,6 +181,11 @@
     header
         .runningAndWaiting()
         .ifPresent(inFlight -> context.replicas().onReport(replica, inFlight, receivedAt));
+    context
+        .contention()
+        .ifPresent(
+            contention ->
+                header.load().ifPresent(load -> contention.onReport(replica, load, receivedAt)));
   }
 
   @Override
@@ -271,19 +276,31 @@
           SendVerdict.FAILED, "status-" + response.status(), Optional.of(buffered));
       return;
     }
-    context.replicas().onValidResponse(replica, elapsedMillis());
+    reportValidResponse();
     owner.onResponseStarted(response.status());
     exchange.respond(buffered.status(), buffered.fields(), ByteBuffer.wrap(buffered.body()));
     owner.onResponseForwarded(buffered.status());
   }
 
+  private void reportValidResponse() {
+    double millis = elapsedMillis();
+    context.replicas().onValidResponse(replica, millis);
+    context
+        .contention()
+        .ifPresent(
+            contention ->
+                response
+                    .load()
+                    .ifPresent(load -> contention.onValidResponse(replica, millis, load)));
+  }
+
   private void onForwardedToEnd() {
     if (isTruncatedEventStream()) {
       onForwardedInPart(TRUNCATED);
       return;
     }
     logEndOfStream("between-events");
-    context.replicas().onValidResponse(replica, elapsedMillis());
+    reportValidResponse();
     exchange.endResponse();
     owner.onResponseForwarded(response.status());
   }
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -56,6 +56,12 @@
   ReplicaStandin worker;
   RawClient client;
 
+  /** Whether the instances are started with the rules on callers that compete for capacity. */
+  boolean contended;
+
+  /** Memory limit in the settings of the instances, in bytes. */
+  long memoryBytes = 256_000_000;
+
   /** A running instance with its settings, which hold its endpoints. */
   record Instance(Gateway gateway, PlatformSettings settings) {}
 
@@ -117,8 +123,8 @@
             seeds,
             storeEndpoint,
             100,
-            256_000_000,
-            false,
+            memoryBytes,
+            contended,
             new PlatformSettings.Bounds(shutdownMillis, 0.2, 10_000, 50, 5_000, 1, 0));
     return new Instance(closeAfterTest(Gateway.start(settings)), settings);
   }
