Bound the bytes that an instance holds for clients and replicas

Cause: a client that reads slowly kept its replica from sending, which cuts off a response that remains unread for some seconds; buffered responses and incomplete request bodies of all connections together had no bound.

Change: HeldBytes counts request bodies from their first byte, buffered responses and the parts that wait for slow clients, against a quarter of the memory in the settings or of the heap. Below half of that, a response is taken from its replica before its client reads it (ResponseParts); above, the replica waits for the client. Beyond the bound, buffered responses are forwarded part by part. From three quarters on, requests with a body are rejected with 503. The engine's place is free when its response has arrived. Only where PlatformSettings.contended(); elsewhere parts are written as before. Metric arbutusspar_held_bytes, log event held-bytes.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientExchange.java
@@ -2,7 +2,9 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.io.http.HeaderField;
 import org.arbutusspar.io.http.StreamHost;
 import org.eclipse.jetty.http.HttpHeader;
@@ -30,14 +32,30 @@
   private final Callback callback;
   private final AtomicReference<State> state = new AtomicReference<>(State.UNANSWERED);
 
-  private ClientExchange(Request request, Response response, Callback callback) {
+  /** Parts that wait for the client; empty if the replica waits for it instead. */
+  private final Optional<ResponseParts> parts;
+
+  private ClientExchange(
+      Request request, Response response, Callback callback, Optional<ResponseParts> parts) {
     this.request = request;
     this.response = response;
     this.callback = callback;
+    this.parts = parts;
   }
 
   static ClientExchange create(Request request, Response response, Callback callback) {
-    return new ClientExchange(request, response, callback);
+    return new ClientExchange(request, response, callback, Optional.empty());
+  }
+
+  /**
+   * Returns an exchange in which a replica need not wait for a slow client.
+   *
+   * @param heldBytes counts the bytes that wait for clients, not null
+   */
+  static ClientExchange create(
+      Request request, Response response, Callback callback, HeldBytes heldBytes) {
+    return new ClientExchange(
+        request, response, callback, Optional.of(ResponseParts.create(response, heldBytes)));
   }
 
   /**
@@ -81,7 +99,9 @@
     }
     StreamHost.clearOnDisconnect(request);
     setHeader(status, fields);
-    response.write(true, body, callback);
+    parts.ifPresent(waiting -> waiting.hold(body.remaining()));
+    response.write(
+        true, body, Callback.from(() -> parts.ifPresent(ResponseParts::close), callback));
     return true;
   }
 
@@ -114,16 +134,42 @@
    * Writes a part of the body. Does nothing if no response is in progress.
    *
    * @param part the part, not null
-   * @param onWritten run when the part has been written; not run if writing fails
+   * @param onAccepted run when the next part may be written; not run if writing fails
+   */
+  void writeContent(ByteBuffer part, Runnable onAccepted) {
+    if (state.get() != State.STARTED) {
+      return;
+    }
+    if (parts.isPresent()) {
+      parts.get().write(part, onAccepted);
+    } else {
+      response.write(false, part, Callback.from(onAccepted, cause -> {}));
+    }
+  }
+
+  /**
+   * Completes the response in progress once its parts are written. Does nothing if there is none.
+   *
+   * @param whenEnded run by another thread when the response has been completed, unless that is
+   *     before this method returns; not run if writing fails, which ends in a disconnect
+   * @return whether parts still wait for the client
    */
-  void writeContent(ByteBuffer part, Runnable onWritten) {
-    if (state.get() == State.STARTED) {
-      response.write(false, part, Callback.from(onWritten, cause -> {}));
+  boolean endResponse(Runnable whenEnded) {
+    if (parts.isPresent() && state.get() == State.STARTED) {
+      return parts
+          .get()
+          .end(
+              this::completeResponse,
+              () -> {
+                completeResponse();
+                whenEnded.run();
+              });
     }
+    completeResponse();
+    return false;
   }
 
-  /** Completes the response in progress. Does nothing if there is none. */
-  void endResponse() {
+  private void completeResponse() {
     if (state.compareAndSet(State.STARTED, State.ENDED)) {
       StreamHost.clearOnDisconnect(request);
       response.write(true, ByteBuffer.allocate(0), callback);
@@ -138,6 +184,7 @@
   void abort(String reason) {
     EofException cause = new EofException(reason);
     State before = state.getAndSet(State.ENDED);
+    parts.ifPresent(ResponseParts::close);
     if (before != State.ENDED) {
       StreamHost.clearOnDisconnect(request);
       StreamHost.reset(request, cause);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClientHandler.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.routing.KeyOwner;
 import org.arbutusspar.core.routing.Route;
 import org.arbutusspar.core.routing.ServingState;
@@ -18,6 +19,7 @@
 import org.arbutusspar.io.http.StreamHost;
 import org.arbutusspar.platform.ClientRequest;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -35,7 +37,10 @@
   private static final int CONTENT_TOO_LARGE = 413;
   private static final int SERVICE_UNAVAILABLE = 503;
 
-  /** Maximum size of all buffered bodies together; beyond it new requests are rejected. */
+  /**
+   * Maximum size of all buffered bodies together; beyond it new requests are rejected. Not used if
+   * all bytes that are held for clients and replicas are counted.
+   */
   private static final long MAX_BUFFERED_BODY_BYTES = 48L << 20;
 
   /**
@@ -113,7 +118,11 @@
 
   @Override
   public void handle(Request request, Response response, Callback callback) {
-    ClientExchange exchange = ClientExchange.create(request, response, callback);
+    ClientExchange exchange =
+        context
+            .heldBytes()
+            .map(held -> ClientExchange.create(request, response, callback, held))
+            .orElseGet(() -> ClientExchange.create(request, response, callback));
     if (shutdown != null) {
       exchange.closeConnectionAfterResponse();
     }
@@ -160,26 +169,30 @@
       reject(exchange, clientRequest.id(), SERVICE_UNAVAILABLE, "leaving");
       return;
     }
-    if (bufferedBodyBytes.get() > MAX_BUFFERED_BODY_BYTES) {
+    if (holdsTooManyBytes(request)) {
       reject(exchange, clientRequest.id(), SERVICE_UNAVAILABLE, "too-many-bytes");
       return;
     }
     // Set by whichever comes first: the end of the body, its failure or its timeout.
     AtomicBoolean bodyHandled = new AtomicBoolean();
+    Optional<HeldBytes.Hold> hold = context.heldBytes().map(HeldBytes::newHold);
     BodyCollector.read(
         request,
         current.limits().bodyBytes(),
+        count -> hold.ifPresent(held -> held.add(count)),
         body -> {
           if (bodyHandled.compareAndSet(false, true)) {
-            serve(current, clientRequest, route.get(), keyOwner, body, exchange, arrivedAt);
+            serve(current, clientRequest, route.get(), keyOwner, body, hold, exchange, arrivedAt);
           }
         },
         () -> {
           bodyHandled.set(true);
+          hold.ifPresent(HeldBytes.Hold::close);
           reject(exchange, clientRequest.id(), CONTENT_TOO_LARGE, "body-too-large");
         },
         cause -> {
           bodyHandled.set(true);
+          hold.ifPresent(HeldBytes.Hold::close);
           exchange.abort(String.valueOf(cause.getMessage()));
         });
     if (!bodyHandled.get()) {
@@ -189,12 +202,29 @@
       context
           .loop()
           .after(
-              bodyTimeoutMillis, () -> rejectLateBody(exchange, clientRequest.id(), bodyHandled));
+              bodyTimeoutMillis,
+              () -> rejectLateBody(exchange, clientRequest.id(), hold, bodyHandled));
     }
   }
 
-  private void rejectLateBody(ClientExchange exchange, String id, AtomicBoolean bodyHandled) {
+  private boolean holdsTooManyBytes(Request request) {
+    return context
+        .heldBytes()
+        .map(held -> hasBody(request) && !held.permitsBody())
+        .orElseGet(() -> bufferedBodyBytes.get() > MAX_BUFFERED_BODY_BYTES);
+  }
+
+  private static boolean hasBody(Request request) {
+    return request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+  }
+
+  private void rejectLateBody(
+      ClientExchange exchange,
+      String id,
+      Optional<HeldBytes.Hold> hold,
+      AtomicBoolean bodyHandled) {
     if (bodyHandled.compareAndSet(false, true)) {
+      hold.ifPresent(HeldBytes.Hold::close);
       exchange.closeConnectionAfterResponse();
       reject(exchange, id, REQUEST_TIMEOUT, "body-late");
     }
@@ -206,12 +236,14 @@
       Route route,
       Optional<KeyOwner> keyOwner,
       byte[] body,
+      Optional<HeldBytes.Hold> hold,
       ClientExchange exchange,
       long arrivedAt) {
     active.incrementAndGet();
     // The shutdown may have begun or progressed while the body arrived.
     if (rejecting || shutdownMayCut(route, clientRequest, arrivedAt)) {
       active.decrementAndGet();
+      hold.ifPresent(HeldBytes.Hold::close);
       reject(exchange, clientRequest.id(), SERVICE_UNAVAILABLE, "leaving");
       return;
     }
@@ -229,6 +261,7 @@
                       unfinishedRequests.remove(request);
                       active.decrementAndGet();
                       bufferedBodyBytes.addAndGet(-body.length);
+                      hold.ifPresent(HeldBytes.Hold::close);
                     }));
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.core.routing.ShutdownAdmission;
 import org.arbutusspar.core.stage.QueueWait;
@@ -105,6 +106,9 @@
   /** Minimum time that a task waits for the event loop to be logged, in milliseconds. */
   private static final long MIN_LOGGED_LAG_MILLIS = 200;
 
+  /** Maximum share of the memory that holds bytes for clients and replicas. */
+  private static final double HELD_SHARE = 0.25;
+
   private final PlatformSettings settings;
   private final EventLog log = EventLog.create(LOG_LINES_PER_SECOND);
   private final GatewayMetrics metrics = GatewayMetrics.create();
@@ -128,6 +132,9 @@
   private final BlockPublisher blockPublisher;
   private boolean statusUpdateScheduled;
 
+  /** Whether requests with a body are rejected for lack of memory, as of the last tick. */
+  private boolean rejectsBodies;
+
   /** Whether the announcement of this instance has been stored, as far as is known. */
   private boolean announced;
 
@@ -191,6 +198,7 @@
             settings.contended()
                 ? Optional.of(ContendedServices.create(replicas, peers))
                 : Optional.empty(),
+            settings.contended() ? Optional.of(createHeldBytes(settings)) : Optional.empty(),
             log,
             metrics);
     clients = new ClientHandler(context);
@@ -220,6 +228,11 @@
     return gateway;
   }
 
+  private static HeldBytes createHeldBytes(PlatformSettings settings) {
+    long memoryBytes = Math.min(settings.memoryBytes(), Runtime.getRuntime().maxMemory());
+    return HeldBytes.create(Math.max(1, (long) (HELD_SHARE * memoryBytes)));
+  }
+
   private void open() {
     log.write(
         "start",
@@ -282,6 +295,14 @@
                     "Expected wait for a slot of a service whose replicas queue requests",
                     "service",
                     contention::waitsMillis));
+    context
+        .heldBytes()
+        .ifPresent(
+            held ->
+                metrics.gauge(
+                    "arbutusspar_held_bytes",
+                    "Bytes of requests and responses that are held for clients and replicas",
+                    held::bytes));
     metrics.gauges(
         "arbutusspar_repeats_left",
         "Requests that may be sent to a service once more now",
@@ -505,6 +526,7 @@
   /** Copies the state of the loop for gauges, which are read by other threads. */
   private void updateSnapshot() {
     context.contention().ifPresent(contention -> contention.updateWaits(loop.now()));
+    context.heldBytes().ifPresent(this::logHeldBytes);
     Map<String, Integer> waits = new HashMap<>();
     peers.ownStatus().waits().forEach((service, wait) -> waits.put(service, wait.millis(false)));
     snapshot =
@@ -521,6 +543,21 @@
             tables.behindMillis(TableName.CONFIGURATION));
   }
 
+  /** Logs when requests with a body begin or cease to be rejected for lack of memory. */
+  private void logHeldBytes(HeldBytes held) {
+    if (held.permitsBody() == rejectsBodies) {
+      rejectsBodies = !held.permitsBody();
+      log.write(
+          "held-bytes",
+          "bytes",
+          held.bytes(),
+          "max",
+          held.maxBytes(),
+          "rejects_bodies",
+          rejectsBodies);
+    }
+  }
+
   /** Measures how long a task waits for the event loop, and logs it if the wait is long. */
   private void measureLoopLag() {
     long postedAt = loop.now();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -12,6 +12,7 @@
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.WindowedRetryBudget;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.stage.ClientRetryDetector;
 import org.arbutusspar.core.stage.ForecastCorrection;
 import org.arbutusspar.core.stage.StageResult;
@@ -36,6 +37,7 @@
  * @param bounds time limits and retry budget settings
  * @param contention limits of services whose callers compete for capacity; empty on deployments
  *     without rules for that
+ * @param heldBytes counts what is held for clients and replicas; empty on the same deployments
  * @param retryBudgets retry budgets by service
  * @param forecastCorrections corrections of the forecast stage times, by route
  * @param retryDetectors detectors of client retries, by route
@@ -55,6 +57,7 @@
     PeerTable peers,
     PlatformSettings.Bounds bounds,
     Optional<ContendedServices> contention,
+    Optional<HeldBytes> heldBytes,
     Map<String, WindowedRetryBudget> retryBudgets,
     Map<String, ForecastCorrection> forecastCorrections,
     Map<String, ClientRetryDetector> retryDetectors,
@@ -77,6 +80,7 @@
       PeerTable peers,
       PlatformSettings.Bounds bounds,
       Optional<ContendedServices> contention,
+      Optional<HeldBytes> heldBytes,
       EventLog log,
       GatewayMetrics metrics) {
     return new RequestContext(
@@ -92,6 +96,7 @@
         peers,
         bounds,
         contention,
+        heldBytes,
         new HashMap<>(),
         new HashMap<>(),
         new HashMap<>(),
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -484,9 +484,13 @@
   }
 
   @Override
-  public void onResponseForwarded(int status) {
+  public void onResponseReceived() {
     context.engines().report(service, request.id(), PeerMessage.RunState.COMPLETED);
     context.crashes().onCompleted(identity, attemptReplica, sentAt);
+  }
+
+  @Override
+  public void onResponseForwarded(int status) {
     end("answered", "status-" + status);
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -11,6 +11,7 @@
 import org.arbutusspar.core.placement.ExecutionRecord;
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.routing.RouteKind;
 import org.arbutusspar.io.http.BodyFraming;
 import org.arbutusspar.io.http.EventStreamPosition;
@@ -32,7 +33,8 @@
 
   /**
    * Maximum number of bytes of a response to buffer. A larger valid response is forwarded part by
-   * part from then on; a larger invalid one is cancelled.
+   * part from then on, as is one that comes while the instance holds too many bytes; a larger
+   * invalid one is cancelled.
    */
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
@@ -59,6 +61,10 @@
   private final ClientExchange exchange;
   private final long startedAt;
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+
+  /** Counts the bytes in the buffer; empty if they need not be counted. */
+  private final Optional<HeldBytes.Hold> bufferHold;
+
   private volatile RawClient.Cancellation cancellation = reason -> {};
   private final AtomicReference<SendPhase> sendPhase = new AtomicReference<>(SendPhase.WAITING);
   private volatile UpstreamResponse response;
@@ -92,6 +98,7 @@
     this.kind = kind;
     this.exchange = exchange;
     this.startedAt = context.loop().now();
+    this.bufferHold = context.heldBytes().map(HeldBytes::newHold);
   }
 
   /**
@@ -148,6 +155,7 @@
   private void markEnded() {
     if (!ended) {
       ended = true;
+      bufferHold.ifPresent(HeldBytes.Hold::close);
       context.replicas().onEnded(replica);
     }
   }
@@ -210,14 +218,19 @@
 
   private void bufferPart(ByteBuffer part, Runnable acknowledge) {
     buffer.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
-    if (buffer.size() <= MAX_BUFFERED_BYTES) {
+    bufferHold.ifPresent(hold -> hold.add(part.remaining()));
+    boolean tooLarge = buffer.size() > MAX_BUFFERED_BYTES;
+    if (!tooLarge && context.heldBytes().map(HeldBytes::isWithinLimit).orElse(true)) {
       acknowledge.run();
       return;
     }
     boolean forwardable = response.valid() && !cancelled;
     if (forwardable && exchange.startResponse(response.status(), response.fields())) {
       forwarding = true;
+      bufferHold.ifPresent(HeldBytes.Hold::close);
       exchange.writeContent(ByteBuffer.wrap(buffer.toByteArray()), acknowledge);
+    } else if (!tooLarge) {
+      acknowledge.run();
     } else {
       cancellation.cancel("response cannot be forwarded");
     }
@@ -278,6 +291,7 @@
     }
     reportValidResponse();
     owner.onResponseStarted(response.status());
+    owner.onResponseReceived();
     exchange.respond(buffered.status(), buffered.fields(), ByteBuffer.wrap(buffered.body()));
     owner.onResponseForwarded(buffered.status());
   }
@@ -301,8 +315,11 @@
     }
     logEndOfStream("between-events");
     reportValidResponse();
-    exchange.endResponse();
-    owner.onResponseForwarded(response.status());
+    owner.onResponseReceived();
+    int status = response.status();
+    if (!exchange.endResponse(() -> post(() -> owner.onResponseForwarded(status)))) {
+      owner.onResponseForwarded(status);
+    }
   }
 
   private void onForwardedInPart(String reason) {
@@ -398,6 +415,9 @@
      */
     void onResponseStarted(int status);
 
+    /** Called when the complete response has arrived from the replica. */
+    void onResponseReceived();
+
     /**
      * Called when the complete response has been forwarded to the client.
      *
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/BodyCollector.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/BodyCollector.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 
@@ -11,6 +12,7 @@
 
   private final Request request;
   private final int maxBytes;
+  private final IntConsumer onPart;
   private final Consumer<byte[]> onBody;
   private final Runnable onTooLarge;
   private final Consumer<Throwable> onFailure;
@@ -19,21 +21,24 @@
   private BodyCollector(
       Request request,
       int maxBytes,
+      IntConsumer onPart,
       Consumer<byte[]> onBody,
       Runnable onTooLarge,
       Consumer<Throwable> onFailure) {
     this.request = request;
     this.maxBytes = maxBytes;
+    this.onPart = onPart;
     this.onBody = onBody;
     this.onTooLarge = onTooLarge;
     this.onFailure = onFailure;
   }
 
   /**
-   * Reads a body, then runs exactly one of the three callbacks.
+   * Reads a body, then runs exactly one of the last three callbacks.
    *
    * @param request the request, not null
    * @param maxBytes maximum size of the body, in bytes
+   * @param onPart receives the number of bytes of each part as it is buffered, not null
    * @param onBody receives the whole body, not null
    * @param onTooLarge run if the body is larger than the maximum, not null
    * @param onFailure receives the cause if the body cannot be read, not null
@@ -41,6 +46,7 @@
   public static void read(
       Request request,
       int maxBytes,
+      IntConsumer onPart,
       Consumer<byte[]> onBody,
       Runnable onTooLarge,
       Consumer<Throwable> onFailure) {
@@ -48,7 +54,7 @@
       onTooLarge.run();
       return;
     }
-    new BodyCollector(request, maxBytes, onBody, onTooLarge, onFailure).readAvailable();
+    new BodyCollector(request, maxBytes, onPart, onBody, onTooLarge, onFailure).readAvailable();
   }
 
   private void readAvailable() {
@@ -81,5 +87,6 @@
     buffer.get(part);
     chunk.release();
     bytes.writeBytes(part);
+    onPart.accept(part.length);
   }
 }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/http/BodyReader.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/http/BodyReader.java
@@ -39,6 +39,7 @@
     BodyCollector.read(
         request,
         MAX_BODY_BYTES,
+        count -> {},
         reader::decodeAndHandle,
         () -> reader.reject(STATUS_TOO_LARGE, "body is larger than " + MAX_BODY_BYTES + " bytes"),
         callback::failed);
