Admission of requests with stages by urgency and load of their kind

Cause: admission compared the wait of the whole queue with the slack of each request, though batchers serve pieces by latest start and rank: in a burst of patient requests urgent ones were rejected for a queue that they go ahead of. Nothing told a burst of one kind from the usual load of the others, and client retries were admitted last.

Change: WaitByUrgency estimates the wait of a request by its place in the order and by the load of the kinds that share the queue.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/StageAdmission.java
@@ -12,20 +12,6 @@
  */
 public final class StageAdmission {
 
-  /**
-   * Maximum share of the slack that the expected wait may use, by priority rank. Lower shares make
-   * admission reject less urgent requests first. A share above 1 admits requests that are expected
-   * to exceed their target time slightly.
-   */
-  private static final double[] WAIT_SHARES_BY_PRIORITY = {1.2, 0.95, 0.65};
-
-  /**
-   * Maximum shares for client retries. They are lower because a late response to a retry is worth
-   * little. They are above zero because a second rejection costs a client more than the first. Once
-   * admitted, a retry is served like a new request.
-   */
-  private static final double[] CLIENT_RETRY_WAIT_SHARES_BY_PRIORITY = {0.8, 0.5, 0.3};
-
   private StageAdmission() {}
 
   /**
@@ -48,16 +34,50 @@
       int priority,
       boolean isClientRetry) {
     Validate.isTrue(priority >= 0, "priority must not be negative");
+    double share = WaitShares.BY_PRIORITY.share(priority, isClientRetry, true);
+    return decide(workMillis, waitMillis, targetMillis, remainingMillis, share);
+  }
+
+  /**
+   * Decides whether to admit a request.
+   *
+   * @param workMillis expected time of its stages without queue waits, in milliseconds
+   * @param waitMillis expected queue wait in milliseconds
+   * @param targetMillis time within which its response counts as in time, in milliseconds
+   * @param remainingMillis time until its deadline less the time that the response itself takes, in
+   *     milliseconds
+   * @param share maximum share of its slack that the wait may use
+   * @return the verdict
+   */
+  public static Verdict decide(
+      double workMillis,
+      double waitMillis,
+      double targetMillis,
+      double remainingMillis,
+      double share) {
     if (workMillis + waitMillis > remainingMillis) {
       return Verdict.NO_TIME;
     }
     double slackMillis = Math.max(0, targetMillis - workMillis);
-    double[] shares =
-        isClientRetry ? CLIENT_RETRY_WAIT_SHARES_BY_PRIORITY : WAIT_SHARES_BY_PRIORITY;
-    double share = shares[Math.min(shares.length - 1, priority)];
     return waitMillis > share * slackMillis ? Verdict.OVERLOAD : Verdict.TAKE;
   }
 
+  /**
+   * Returns the target of a request that came back after a rejection: what the first attempt has
+   * left of it, but no less than half of its slack, since a second rejection costs a client more
+   * than a late response.
+   *
+   * @param workMillis expected time of its stages without queue waits, in milliseconds
+   * @param targetMillis target of a new request, in milliseconds
+   * @param elapsedMillis time since the client sent it first, in milliseconds
+   * @return the target in milliseconds
+   */
+  public static double clientRetryTargetMillis(
+      double workMillis, double targetMillis, double elapsedMillis) {
+    double slackMillis = Math.max(0, targetMillis - workMillis);
+    return Math.max(targetMillis - elapsedMillis, workMillis + slackMillis / 2);
+  }
+
   /** Decision on the admission of a request. */
   public enum Verdict {
     /** The request is admitted. */
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/UrgencyOrder.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/UrgencyOrder.java
@@ -25,6 +25,17 @@
     return new UrgencyOrder();
   }
 
+  /**
+   * Returns the place of a piece in the order, among those in time.
+   *
+   * @param slackMillis time until its latest start, in milliseconds
+   * @param priority priority rank, 0 is the most urgent
+   * @return time until its latest start with the addition for its priority, in milliseconds
+   */
+  public static double placeMillis(double slackMillis, int priority) {
+    return slackMillis + priority * Nanos.toMillis(PRIORITY_RANK_NANOS);
+  }
+
   @Override
   public Comparator<Piece> at(long now) {
     return Comparator.comparing((Piece piece) -> !isInTime(piece, now))
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ContendedServices.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ContendedServices.java
@@ -9,6 +9,8 @@
 import org.arbutusspar.core.placement.ReturnTimes;
 import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.placement.UsualLoad;
+import org.arbutusspar.core.stage.WaitByUrgency;
 
 /**
  * Limits of the services whose callers compete for capacity, and the times at which rejected
@@ -23,6 +25,8 @@
   private final PeerTable peers;
   private final Map<String, PlainServiceLimit> limits = new HashMap<>();
   private final Map<String, ReturnTimes> returnTimes = new HashMap<>();
+  private final Map<String, UsualLoad> usualLoads = new HashMap<>();
+  private final Map<String, WaitByUrgency> stageWaits = new HashMap<>();
   private volatile Map<String, Integer> waitsMillis = Map.of();
 
   private ContendedServices(ReplicaRegistry replicas, PeerTable peers) {
@@ -100,6 +104,16 @@
     return slots * MILLIS_PER_SECOND / workMillis / Math.max(1, peers.liveCount(now));
   }
 
+  /** Records a request with stages, and returns whether it is within the usual load of its kind. */
+  boolean isWithinUsualLoad(String kind, long now) {
+    return usualLoads.computeIfAbsent(kind, name -> UsualLoad.create()).onRequest(now);
+  }
+
+  /** Returns how long the pieces of a request wait at a service, by its kinds of request. */
+  WaitByUrgency stageWait(String service) {
+    return stageWaits.computeIfAbsent(service, name -> WaitByUrgency.create());
+  }
+
   /** Copies the expected waits for {@link #waitsMillis}. */
   void updateWaits(long now) {
     Map<String, Integer> waits = new HashMap<>();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StageRun.java
@@ -17,6 +17,8 @@
 import org.arbutusspar.core.stage.StageAdmission;
 import org.arbutusspar.core.stage.StagePlan;
 import org.arbutusspar.core.stage.StageResult;
+import org.arbutusspar.core.stage.UrgencyOrder;
+import org.arbutusspar.core.stage.WaitShares;
 import org.arbutusspar.platform.ClientRequest;
 
 /**
@@ -63,11 +65,17 @@
   private final StagePlan plan;
   private final boolean isClientRetry;
 
+  /** Whether the request is within the usual load of its route; true if that does not matter. */
+  private final boolean isWithinUsualLoad;
+
+  /** Place of the pieces in the order of their queues when they are submitted, in milliseconds. */
+  private final double orderMillis;
+
   /** Expected time of all stages with queue waits, before its correction for the route. */
   private final double uncorrectedForecastMillis;
 
   /** Expected time until the response starts, without waits, in milliseconds. */
-  private double workMillis;
+  private final double workMillis;
 
   /** Expected wait for the stages, in milliseconds. */
   private double waitMillis;
@@ -98,6 +106,14 @@
     this.isClientRetry =
         request.clientTimeoutMillis().isPresent()
             && context.isClientRetry(route.name(), request.clientTimeoutMillis().getAsLong());
+    this.isWithinUsualLoad =
+        context
+            .contention()
+            .map(contention -> contention.isWithinUsualLoad(route.name(), context.loop().now()))
+            .orElse(true);
+    this.workMillis = forecastMillis(false) + ENGINE_FIRST_EVENT_MILLIS;
+    this.orderMillis =
+        UrgencyOrder.placeMillis(route.targetMillis() - workMillis, route.priority());
     this.uncorrectedForecastMillis = forecastMillis(true);
   }
 
@@ -132,18 +148,13 @@
    * @return the verdict
    */
   StageAdmission.Verdict admit() {
-    double stagesMillis = forecastMillis(false);
-    workMillis = stagesMillis + ENGINE_FIRST_EVENT_MILLIS;
+    double stagesMillis = workMillis - ENGINE_FIRST_EVENT_MILLIS;
     waitMillis =
         context.forecastCorrection(route.name()).apply(uncorrectedForecastMillis) - stagesMillis;
-    StageAdmission.Verdict verdict =
-        StageAdmission.decide(
-            workMillis,
-            waitMillis,
-            route.targetMillis(),
-            remainingMillis(),
-            route.priority(),
-            isClientRetry);
+    StageAdmission.Verdict verdict = decide();
+    if (verdict == StageAdmission.Verdict.TAKE) {
+      context.contention().ifPresent(this::recordAdmitted);
+    }
     context
         .log()
         .write(
@@ -161,10 +172,42 @@
             "left_ms",
             remainingMillis(),
             "came_back",
-            isClientRetry);
+            isClientRetry,
+            "usual",
+            isWithinUsualLoad);
     return verdict;
   }
 
+  private StageAdmission.Verdict decide() {
+    if (context.contention().isEmpty()) {
+      return StageAdmission.decide(
+          workMillis,
+          waitMillis,
+          route.targetMillis(),
+          remainingMillis(),
+          route.priority(),
+          isClientRetry);
+    }
+    double targetMillis =
+        isClientRetry
+            ? StageAdmission.clientRetryTargetMillis(
+                workMillis, route.targetMillis(), route.timeoutMillis() - remainingMillis())
+            : route.targetMillis();
+    double share =
+        WaitShares.BY_KIND_LOAD.share(route.priority(), isClientRetry, isWithinUsualLoad);
+    return StageAdmission.decide(workMillis, waitMillis, targetMillis, remainingMillis(), share);
+  }
+
+  private void recordAdmitted(ContendedServices contention) {
+    for (int stage = 0; stage < route.stages().size(); stage++) {
+      if (plan.pieces(stage) > 0) {
+        contention
+            .stageWait(route.stages().get(stage).service())
+            .onRequest(route.name(), orderMillis, plan.pieces(stage), context.loop().now());
+      }
+    }
+  }
+
   /** Returns whether the client has probably sent the request before and been rejected. */
   boolean isClientRetry() {
     return isClientRetry;
@@ -233,7 +276,28 @@
     double callMillis =
         state.pieceLimits(name).map(limits -> limits.millis(limits.maxBatchSize() / 2)).orElse(0.0);
     long now = context.loop().now();
-    return callMillis + (includeQueueWait ? context.peers().queueWait(name, now).millis(false) : 0);
+    return callMillis + (includeQueueWait ? queueWaitMillis(name, callMillis, now) : 0);
+  }
+
+  /**
+   * Returns the expected queue wait at a service, in milliseconds. A request of a burst goes behind
+   * all others.
+   */
+  private double queueWaitMillis(String service, double callMillis, long now) {
+    double queueMillis = context.peers().queueWait(service, now).millis(false);
+    if (context.contention().isEmpty()) {
+      return queueMillis;
+    }
+    int replicas = context.replicas().notLeaving(service).size();
+    double untilFreeMillis = Math.min(queueMillis, callMillis / Math.max(1, replicas));
+    double waitMillis =
+        untilFreeMillis
+            + context
+                .contention()
+                .get()
+                .stageWait(service)
+                .waitMillis(orderMillis, queueMillis - untilFreeMillis, now);
+    return isWithinUsualLoad || isClientRetry ? waitMillis : Math.max(waitMillis, queueMillis);
   }
 
   /**
