--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
@@ -58,6 +58,7 @@
             ShowCommand.class,
             StatusCommand.class,
             ExplainCommand.class,
+            OutcomesCommand.class,
             AddressesCommand.class,
             CallCommand.class,
             LoadCommand.class,
