Serve cold replicas within their rate, and evacuated data centres not at all

Cause: nothing read that a replica is cold, and the operators' records that evacuate a data centre were ignored.

Change: ColdReplicas tells which replicas are cold, by the list and by what an instance has seen: a new incarnation, a data centre that has come back. ReplicaRateLimits gives permits for them as for stated limits, at a rate and burst that ColdBound derives from the deployment's bounds: half of the bound at most, since two holders may overlap for a moment. Evacuations follows the records; ReplicaRegistry leaves the replicas out, requests are rejected at once where none is left, and releases of results there are dropped. A row that repeats another now keeps the newest value, so that a replica that is cold again is noticed.

Conclusion: takes effect only where a service states a warm-up or a record exists.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/peer/SharedTable.java
@@ -183,6 +183,7 @@
     byte[] value = record.value().get();
     if (current != null && rules.sameContent(current.value, value)) {
       confirm(current, record.offset());
+      current.value = value;
       return false;
     }
     rows.put(record.key(), new Row(value, record.offset()));
@@ -384,7 +385,8 @@
 
   /** Value of a key. */
   private static final class Row {
-    private final byte[] value;
+    /** The newest value, which may differ from earlier ones in what its rules do not count. */
+    private byte[] value;
 
     /** Offset of the record that last changed the value. */
     private long changedAt;
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRateLimits.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRateLimits.java
@@ -1,5 +1,6 @@
 package org.arbutusspar.core.placement;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -10,10 +11,11 @@
 import org.apache.commons.lang3.Validate;
 import org.arbutusspar.core.BoundedMaps;
 import org.arbutusspar.core.Nanos;
+import org.arbutusspar.core.routing.WarmUp;
 
 /**
- * Limits on the request rate that replicas state for all instances together, and the permits for
- * the requests within them.
+ * Limits on the request rate that replicas state for all instances together, or have while they are
+ * cold, and the permits for the requests within them.
  *
  * <p>Load pattern: a replica in need states a limit while everyone comes at once. If each instance
  * kept to the limit on its own, their sum would exceed it, and equal shares of a small limit would
@@ -22,8 +24,9 @@
  * instances uses the limit as a whole, and each other part its share; a part that is too small for
  * that gives no permits.
  *
- * <p>A limit holds until a response to a later request states none. Times are monotonic, in
- * nanoseconds. Not thread-safe.
+ * <p>A stated limit holds until a response to a later request states none; {@link ColdReplicas}
+ * tells which replicas are cold. A replica that has both limits needs a permit of each. Times are
+ * monotonic, in nanoseconds. Not thread-safe.
  */
 public final class ReplicaRateLimits implements SendPermits {
 
@@ -59,21 +62,45 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final DecisionShare decisionShare;
+  private final ColdReplicas cold;
+  private final ColdBound coldBound;
   private final Map<String, Limit> limits = BoundedMaps.droppingOldest(MAX_REPLICAS);
+
+  /** Permits for cold replicas, by incarnation. */
+  private final Map<String, Permits> coldPermits = BoundedMaps.droppingOldest(MAX_REPLICAS);
+
   private final Map<String, KnownShare> shares = new HashMap<>();
 
-  private ReplicaRateLimits(DecisionShare decisionShare) {
+  private ReplicaRateLimits(DecisionShare decisionShare, ColdReplicas cold, ColdBound coldBound) {
     this.decisionShare = decisionShare;
+    this.cold = cold;
+    this.coldBound = coldBound;
   }
 
   /**
-   * Returns an object that knows of no limit.
+   * Returns an object that knows of no limit, for replicas that are never cold.
    *
    * @param decisionShare determines for whom this instance decides, not null
    * @return the object
    */
   public static ReplicaRateLimits create(DecisionShare decisionShare) {
-    return new ReplicaRateLimits(Objects.requireNonNull(decisionShare, "decisionShare"));
+    return create(decisionShare, ColdReplicas.create(), new ColdBound(1, 0));
+  }
+
+  /**
+   * Returns an object that knows of no stated limit.
+   *
+   * @param decisionShare determines for whom this instance decides, not null
+   * @param cold the replicas that are cold, not null
+   * @param coldBound bound on the requests for a cold replica, not null
+   * @return the object
+   */
+  public static ReplicaRateLimits create(
+      DecisionShare decisionShare, ColdReplicas cold, ColdBound coldBound) {
+    Objects.requireNonNull(decisionShare, "decisionShare");
+    Objects.requireNonNull(cold, "cold");
+    Objects.requireNonNull(coldBound, "coldBound");
+    return new ReplicaRateLimits(decisionShare, cold, coldBound);
   }
 
   /**
@@ -128,7 +155,7 @@
     return changed;
   }
 
-  /** Returns the limits that are in force. */
+  /** Returns the stated limits that are in force. */
   public List<StatedLimit> inForce() {
     return limits.entrySet().stream()
         .filter(entry -> entry.getValue().isInForce())
@@ -137,31 +164,43 @@
   }
 
   /**
-   * Returns what is known of the limit of a replica.
+   * Returns the lowest limit of a replica that is in force.
    *
    * @param replica the replica, not null
    * @return the limit in requests a second, or empty if there is none
    */
   public OptionalDouble perSecond(UpstreamReplica replica) {
     Limit limit = limits.get(replica.incarnation());
-    return limit == null ? OptionalDouble.empty() : limit.perSecond;
+    OptionalDouble stated = limit == null ? OptionalDouble.empty() : limit.perSecond;
+    OptionalDouble whileCold = coldPerSecond(replica);
+    if (stated.isEmpty() || whileCold.isEmpty()) {
+      return stated.isEmpty() ? whileCold : stated;
+    }
+    return OptionalDouble.of(Math.min(stated.getAsDouble(), whileCold.getAsDouble()));
   }
 
-  /** Returns whether a replica has stated a limit that is in force. */
+  /** Returns the limit of a cold replica in requests a second, or empty if it is warm. */
+  private OptionalDouble coldPerSecond(UpstreamReplica replica) {
+    return cold.isCold(replica)
+        ? OptionalDouble.of(coldBound.permitsPerSecond(cold.warmUp(replica).orElseThrow()))
+        : OptionalDouble.empty();
+  }
+
+  /** Returns whether a replica has a limit that is in force. */
   public boolean isLimited(UpstreamReplica replica) {
     return perSecond(replica).isPresent();
   }
 
-  /** Returns whether any of some replicas has stated a limit that is in force. */
+  /** Returns whether any of some replicas has a limit that is in force. */
   public boolean isAnyLimited(Collection<UpstreamReplica> replicas) {
-    return !limits.isEmpty() && replicas.stream().anyMatch(this::isLimited);
+    return !(limits.isEmpty() && cold.count() == 0) && replicas.stream().anyMatch(this::isLimited);
   }
 
   /**
    * Returns the sum of the limits of some replicas.
    *
    * @param replicas the replicas, not null
-   * @return requests a second; empty if one of them has stated no limit, or there are none
+   * @return requests a second; empty if one of them has no limit, or there are none
    */
   public OptionalDouble totalPerSecond(Collection<UpstreamReplica> replicas) {
     boolean allLimited = !replicas.isEmpty() && replicas.stream().allMatch(this::isLimited);
@@ -184,27 +223,49 @@
    * @return the time in nanoseconds; empty if this instance gives no permits for the replica
    */
   public OptionalLong nanosUntilAvailable(UpstreamReplica replica, long now) {
-    Limit limit = limits.get(replica.incarnation());
-    if (limit == null || !limit.isInForce()) {
+    if (!isLimited(replica)) {
       return OptionalLong.of(0);
     }
     double share = share(replica.service(), now);
     if (share < MIN_SHARE) {
       return OptionalLong.empty();
     }
-    limit.refill(share, now);
-    double missing = 1 - EPSILON - limit.permits;
-    return OptionalLong.of(
-        missing <= 0 ? 0 : (long) Math.ceil(missing / limit.rate(share) * NANOS_PER_SECOND));
+    long nanos =
+        refill(replica, share, now).stream()
+            .mapToLong(Permits::nanosUntilAvailable)
+            .max()
+            .orElse(0);
+    return OptionalLong.of(nanos);
   }
 
   @Override
   public void take(UpstreamReplica replica, long now) {
+    if (isLimited(replica)) {
+      refill(replica, share(replica.service(), now), now).forEach(Permits::take);
+    }
+  }
+
+  /** Returns the permits of each limit of a replica, with those that are new until now. */
+  private List<Permits> refill(UpstreamReplica replica, double share, long now) {
+    List<Permits> refilled = new ArrayList<>();
+    boolean whole = share >= WHOLE_LIMIT_SHARE;
+    double usableShare = whole ? 1 : share;
     Limit limit = limits.get(replica.incarnation());
     if (limit != null && limit.isInForce()) {
-      limit.refill(share(replica.service(), now), now);
-      limit.permits--;
+      limit.permits.refill(usableShare * limit.rate(), whole ? limit.maxPermits() : 1, now);
+      refilled.add(limit.permits);
     }
+    if (cold.isCold(replica)) {
+      Permits permits =
+          coldPermits.computeIfAbsent(replica.incarnation(), name -> new Permits(1, now));
+      WarmUp warmUp = cold.warmUp(replica).orElseThrow();
+      permits.refill(
+          usableShare * coldBound.permitsPerSecond(warmUp),
+          whole ? coldBound.burst(warmUp) : 1,
+          now);
+      refilled.add(permits);
+    }
+    return refilled;
   }
 
   private double share(String service, long now) {
@@ -232,12 +293,39 @@
 
   private record KnownShare(double share, long determinedAt) {}
 
-  /** The limit of one replica, or that it has ended, with its permits. */
+  /** Unused permits for a replica, which get more at a rate. */
+  private static final class Permits {
+    private double permits;
+    private double rate;
+    private long refilledAt;
+
+    private Permits(double permits, long now) {
+      this.permits = permits;
+      refilledAt = now;
+    }
+
+    private void refill(double newRate, double maxPermits, long now) {
+      rate = newRate;
+      double added = Math.max(0, now - refilledAt) / NANOS_PER_SECOND * rate;
+      permits = Math.min(maxPermits, permits + added);
+      refilledAt = now;
+    }
+
+    private long nanosUntilAvailable() {
+      double missing = 1 - EPSILON - permits;
+      return missing <= 0 ? 0 : (long) Math.ceil(missing / rate * NANOS_PER_SECOND);
+    }
+
+    private void take() {
+      permits--;
+    }
+  }
+
+  /** The limit that one replica has stated, or that it has ended, with its permits. */
   private static final class Limit {
     private OptionalDouble perSecond = OptionalDouble.empty();
     private long statedAt;
-    private double permits;
-    private long refilledAt;
+    private Permits permits;
 
     /** What the peers know of the limit. */
     private OptionalDouble announced = OptionalDouble.empty();
@@ -246,6 +334,7 @@
 
     private Limit(long now) {
       announcedAt = now - ANNOUNCEMENT_INTERVAL_NANOS;
+      permits = new Permits(0, now);
     }
 
     private boolean isInForce() {
@@ -254,8 +343,7 @@
 
     private void set(OptionalDouble newPerSecond, long now) {
       if (perSecond.isEmpty()) {
-        permits = 0;
-        refilledAt = now;
+        permits = new Permits(0, now);
       }
       perSecond = newPerSecond;
       statedAt = now;
@@ -273,19 +361,12 @@
       return true;
     }
 
-    private double rate(double share) {
-      double limit = Math.max(MIN_PER_SECOND, perSecond.orElseThrow());
-      return share >= WHOLE_LIMIT_SHARE ? limit : limit * share;
-    }
-
-    private double maxPermits(double share) {
-      return share >= WHOLE_LIMIT_SHARE ? 1 + BURST_SECONDS * perSecond.orElseThrow() : 1;
+    private double rate() {
+      return Math.max(MIN_PER_SECOND, perSecond.orElseThrow());
     }
 
-    private void refill(double share, long now) {
-      double added = Math.max(0, now - refilledAt) / NANOS_PER_SECOND * rate(share);
-      permits = Math.min(maxPermits(share), permits + added);
-      refilledAt = now;
+    private double maxPermits() {
+      return 1 + BURST_SECONDS * perSecond.orElseThrow();
     }
 
     private StatedLimit toStated(String incarnation) {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -41,6 +41,11 @@
   /** Identifiers of replicas that leave by their own word but not by the list, by service. */
   private Map<String, Set<String>> leavingUnlisted = Map.of();
 
+  private Set<DataCentre> evacuatedDataCentres = Set.of();
+
+  /** Identifiers of replicas that are not leaving, in evacuated data centres, by service. */
+  private Map<String, Set<String>> evacuated = Map.of();
+
   private ReplicaRegistry() {}
 
   /** Returns a registry without replicas. */
@@ -77,8 +82,11 @@
     Map<String, List<UpstreamReplica>> grouped = new LinkedHashMap<>();
     Map<String, UpstreamReplica> ids = new LinkedHashMap<>();
     Map<String, ReplicaLoad> knownLoads = new HashMap<>();
+    Map<String, Set<String>> evacuatedIds = new HashMap<>();
     for (UpstreamReplica replica : listed) {
-      if (!replica.leaving()) {
+      if (!replica.leaving() && isEvacuated(replica)) {
+        evacuatedIds.computeIfAbsent(replica.service(), s -> new HashSet<>()).add(replica.id());
+      } else if (!replica.leaving()) {
         grouped.computeIfAbsent(replica.service(), s -> new ArrayList<>()).add(replica);
       }
       ids.put(replica.id(), replica);
@@ -89,12 +97,45 @@
         .removeIf(e -> !knownLoads.containsKey(e.getKey()) && e.getValue().inFlight() == 0);
     loads.putAll(knownLoads);
     byService = grouped;
+    evacuated = evacuatedIds;
     byId = ids;
     Map<Endpoint, UpstreamReplica> endpoints = new HashMap<>();
     listed.forEach(replica -> endpoints.put(replica.endpoint(), replica));
     byEndpoint = endpoints;
   }
 
+  /**
+   * Replaces the data centres whose replicas get nothing new.
+   *
+   * @param dataCentres the evacuated data centres, not null
+   */
+  public void evacuate(Set<DataCentre> dataCentres) {
+    evacuatedDataCentres = Set.copyOf(dataCentres);
+    replace(lastListed);
+  }
+
+  /** Returns whether a replica runs in a data centre that is evacuated. */
+  public boolean isEvacuated(UpstreamReplica replica) {
+    return evacuatedDataCentres.contains(replica.dataCentre());
+  }
+
+  /** Returns whether all replicas of a service that are not leaving are evacuated. */
+  public boolean isEvacuated(String service) {
+    return evacuated.containsKey(service) && notLeaving(service).isEmpty();
+  }
+
+  /** Returns the identifiers of the evacuated replicas of a service that are not leaving. */
+  public Set<String> evacuated(String service) {
+    return evacuated.getOrDefault(service, Set.of());
+  }
+
+  /** Returns the listed replicas in some data centres, leaving or not. */
+  public List<UpstreamReplica> in(Set<DataCentre> dataCentres) {
+    return lastListed.stream()
+        .filter(replica -> dataCentres.contains(replica.dataCentre()))
+        .toList();
+  }
+
   /** Returns the listed replica with an identifier, leaving or not, or empty if there is none. */
   public Optional<UpstreamReplica> find(String id) {
     return Optional.ofNullable(byId.get(id));
@@ -114,18 +155,27 @@
    * Returns the number of listed replicas by state.
    *
    * @param now current monotonic time, in nanoseconds
-   * @return counts by "leaving", "resting" (cooling down after failures) and "usable" (others);
-   *     states without replicas are absent
+   * @return counts by "leaving", "evacuated", "resting" (cooling down after failures) and "usable"
+   *     (others); states without replicas are absent
    */
   public Map<String, Integer> countByState(long now) {
     Map<String, Integer> counts = new HashMap<>();
     for (UpstreamReplica replica : byId.values()) {
-      String state = load(replica).isCoolingDown(now) ? "resting" : "usable";
-      counts.merge(replica.leaving() ? "leaving" : state, 1, Integer::sum);
+      counts.merge(state(replica, now), 1, Integer::sum);
     }
     return counts;
   }
 
+  private String state(UpstreamReplica replica, long now) {
+    if (replica.leaving()) {
+      return "leaving";
+    }
+    if (isEvacuated(replica)) {
+      return "evacuated";
+    }
+    return load(replica).isCoolingDown(now) ? "resting" : "usable";
+  }
+
   /** Returns the replicas of this registry that are missing from a newer list. */
   public List<UpstreamReplica> missingFrom(Collection<UpstreamReplica> current) {
     Set<String> ids = new HashSet<>();
@@ -133,7 +183,10 @@
     return byId.values().stream().filter(replica -> !ids.contains(replica.id())).toList();
   }
 
-  /** Returns the listed replicas of a service that are not leaving, cooling down or not. */
+  /**
+   * Returns the listed replicas of a service that are not leaving, cooling down or not, except
+   * those in evacuated data centres.
+   */
   public List<UpstreamReplica> notLeaving(String service) {
     return byService.getOrDefault(service, List.of());
   }
@@ -179,11 +232,13 @@
    *
    * @param replica the replica, not null
    * @param now current monotonic time, in nanoseconds
-   * @return false if it has announced its shutdown in a response, or asked for a pause that has not
-   *     ended
+   * @return false if it has announced its shutdown in a response, asked for a pause that has not
+   *     ended, or runs in an evacuated data centre
    */
   public boolean mayReceive(UpstreamReplica replica, long now) {
-    return !availability.isLeaving(replica) && !availability.isBackingOff(replica, now);
+    return !isEvacuated(replica)
+        && !availability.isLeaving(replica)
+        && !availability.isBackingOff(replica, now);
   }
 
   /**
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/SharedTableTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/peer/SharedTableTest.java
@@ -295,4 +295,14 @@
     }
     return rows;
   }
+
+  /** A row that changes back from an earlier state than the newest one must be noticed. */
+  @Test
+  void repeatedRowIsComparedWithTheNewestOne() {
+    SharedTable table = table();
+    table.replace(List.of(put("a", "1/x", 3)), 10);
+    assertFalse(table.append(List.of(put("a", "1/y", 10)), 11));
+    assertEquals("1/y", new String(table.value("a").orElseThrow(), StandardCharsets.UTF_8));
+    assertEquals(3, table.rowOffset("a"));
+  }
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaRateLimitsTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaRateLimitsTest.java
@@ -6,12 +6,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.routing.WarmUp;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -227,4 +229,36 @@
     assertTrue(limits.onStated(REPLICA, 20, millis(2_000)));
     assertFalse(limits.onStated(REPLICA, 20, millis(3_000)));
   }
+
+  /** A cold replica may state a limit as well; each request needs a permit of both. */
+  @Test
+  void lowestLimitOfColdReplicaBinds() {
+    ColdReplicas cold = ColdReplicas.create();
+    cold.warmUps(Map.of("s", new WarmUp(10_000, 10)), 0);
+    cold.onListed(List.of(REPLICA.withWarmUp(10_000)), 0);
+    ReplicaRateLimits limits =
+        ReplicaRateLimits.create((service, now) -> 1, cold, new ColdBound(1.5, 5));
+    assertTrue(limits.isAnyLimited(List.of(REPLICA)));
+    assertEquals(OptionalDouble.of(10), limits.perSecond(REPLICA));
+    assertEquals(20, sendAt(limits, 0, millis(2_000), millis(1)).size(), 1);
+    limits.onStated(REPLICA, 2, millis(2_000));
+    assertEquals(OptionalDouble.of(2), limits.perSecond(REPLICA));
+    assertEquals(8, sendAt(limits, millis(2_000), millis(6_000), millis(1)).size(), 1);
+    limits.onNoneStated(REPLICA, millis(6_000), millis(6_000));
+    assertEquals(10, sendAt(limits, millis(6_000), millis(7_000), millis(1)).size(), 2);
+    cold.update(millis(10_000));
+    assertFalse(limits.isAnyLimited(List.of(REPLICA)));
+    assertEquals(100, sendAt(limits, millis(10_000), millis(10_100), millis(1)).size());
+  }
+
+  /** The bound is kept also if it is below what the replica states that it takes. */
+  @ParameterizedTest
+  @CsvSource({"1.5, 5, 10", "1, 0, 10", "1.5, 5, 0.5", "1.2, 3, 400", "0.5, 1, 50"})
+  void permitsForColdReplicaLeaveRoomForOtherParts(double ratio, double allowance, double rate) {
+    ColdBound bound = new ColdBound(ratio, allowance);
+    WarmUp warmUp = new WarmUp(3_000, rate);
+    double parts = 4.0 / 3 * bound.permitsPerSecond(warmUp);
+    assertTrue(bound.permitsPerSecond(warmUp) <= rate);
+    assertTrue(parts + bound.burst(warmUp) <= bound.perWindow(warmUp) + 1e-9);
+  }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/DeferredReleases.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/DeferredReleases.java
@@ -11,9 +11,9 @@
 import org.arbutusspar.core.placement.UpstreamReplica;
 
 /**
- * Decides when results may be released at replicas that want no requests now or limit their rate,
- * and gives the permits for calls to these replicas. While a release waits for a permit, calls for
- * pieces do not take it, since they need the memory that the release frees.
+ * Decides when results may be released at replicas that want no requests now, limit their rate or
+ * are evacuated, and gives the permits for calls to these replicas. While a release waits for a
+ * permit, calls for pieces do not take it, since they need the memory that the release frees.
  *
  * <p>Not thread-safe.
  */
@@ -65,6 +65,9 @@
       return Decision.SEND;
     }
     UpstreamReplica replica = found.get();
+    if (replicas.isEvacuated(replica)) {
+      return Decision.DROP;
+    }
     if (replicas.isBackingOff(replica, now)) {
       return Decision.DEFER;
     }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Rendezvous;
+import org.arbutusspar.core.id.DataCentre;
 import org.arbutusspar.core.peer.FewInstancesRead;
 import org.arbutusspar.core.peer.HubTopology;
 import org.arbutusspar.core.peer.Peer;
@@ -21,11 +22,16 @@
 import org.arbutusspar.core.peer.SharedTable;
 import org.arbutusspar.core.peer.StorePosition;
 import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.placement.ColdBound;
+import org.arbutusspar.core.placement.ColdReplicas;
+import org.arbutusspar.core.placement.Evacuations;
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.ServedService;
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.core.routing.ShutdownAdmission;
+import org.arbutusspar.core.routing.WarmUp;
 import org.arbutusspar.core.stage.QueueWait;
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.http.RawClient;
@@ -33,6 +39,7 @@
 import org.arbutusspar.io.link.PeerCodec;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.ConfigurationReader;
+import org.arbutusspar.platform.EvacuationReader;
 import org.arbutusspar.platform.PlatformSettings;
 import org.arbutusspar.platform.ReplicaReader;
 import org.arbutusspar.platform.StoreClient;
@@ -102,6 +109,8 @@
   /** Maximum wait for running threads when the instance is closed, in milliseconds. */
   private static final long THREAD_STOP_TIMEOUT_MILLIS = 100;
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   /** Minimum time that a task waits for the event loop to be logged, in milliseconds. */
   private static final long MIN_LOGGED_LAG_MILLIS = 200;
 
@@ -116,7 +125,9 @@
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
+  private final ColdReplicas coldReplicas = ColdReplicas.create();
   private final ReplicaRateLimits rateLimits;
+  private final Evacuations evacuations = Evacuations.create();
   private final ReplicaAnnouncements announcements;
   private final BlockList blocks;
   private final CrashingRequestGuard crashes;
@@ -164,7 +175,9 @@
     peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
     replicas = ReplicaRegistry.create();
-    rateLimits = ReplicaRateLimits.create(this::decisionShare);
+    ColdBound coldBound =
+        new ColdBound(settings.bounds().coldRatio(), settings.bounds().coldAllowance());
+    rateLimits = ReplicaRateLimits.create(this::decisionShare, coldReplicas, coldBound);
     announcements = ReplicaAnnouncements.create(replicas, rateLimits, peerNetwork, loop, log);
     announcements.onReplicasChanged(this::onAvailableReplicasChanged);
     blockPublisher = BlockPublisher.create(peerNetwork, store, loop, log);
@@ -287,6 +300,15 @@
         "arbutusspar_limited_replicas",
         "Replicas that limit the rate of the requests of all instances together",
         () -> snapshot.limitedReplicas());
+    metrics.gauge(
+        "arbutusspar_cold_replicas",
+        "Replicas that are cold, for which requests are limited",
+        () -> snapshot.coldReplicas());
+    metrics.gauges(
+        "arbutusspar_evacuated_seconds",
+        "Time since this instance learned of the evacuation of a data centre",
+        "data_centre",
+        () -> snapshot.evacuatedSeconds());
     metrics.gauge(
         "arbutusspar_configuration_behind_milliseconds",
         "Time for which a live peer has had changes of the configuration that this instance lacks",
@@ -348,6 +370,9 @@
   }
 
   private void onConfiguration(TopicConsumer consumer, boolean changed) {
+    if (changed) {
+      applyEvacuations(consumer.table());
+    }
     long offset = consumer.table().rowOffset(StoreClient.CONFIGURATION_KEY);
     if (offset > stateOffset) {
       apply(offset, consumer.table().value(StoreClient.CONFIGURATION_KEY).orElseThrow());
@@ -355,6 +380,65 @@
     onTableRead(changed);
   }
 
+  /** Applies the operators' records that evacuate data centres, of which some may have ended. */
+  private void applyEvacuations(SharedTable records) {
+    Map<DataCentre, Long> offsets = new HashMap<>();
+    for (String key : records.values().keySet()) {
+      Optional<DataCentre> dataCentre = EvacuationReader.read(key);
+      dataCentre.ifPresent(name -> offsets.put(name, records.rowOffset(key)));
+      if (dataCentre.isEmpty() && EvacuationReader.isEvacuation(key)) {
+        log.write("evacuation-malformed", "key", key);
+      }
+    }
+    Evacuations.Change change = evacuations.update(offsets.keySet(), loop.now());
+    if (change.isEmpty()) {
+      return;
+    }
+    replicas.evacuate(evacuations.inForce());
+    change
+        .begun()
+        .forEach(name -> logEvacuation("evacuation", name, offsets.get(name), records.offset()));
+    change.ended().forEach(name -> logEvacuation("evacuation-ended", name, -1, records.offset()));
+    // Replicas there may have become cold shortly before, and say so only later.
+    logColdReplicas(coldReplicas.assumeCold(replicas.in(change.ended()), loop.now()), "evacuation");
+    onAvailableReplicasChanged();
+  }
+
+  private void logEvacuation(String event, DataCentre dataCentre, long record, long offset) {
+    log.write(
+        event,
+        "data_centre",
+        dataCentre,
+        "record",
+        record < 0 ? "none" : StorePosition.toText(record),
+        "offset",
+        StorePosition.toText(offset),
+        "source",
+        tables.source(TableName.CONFIGURATION),
+        "replicas",
+        replicas.in(Set.of(dataCentre)).size());
+  }
+
+  private void logColdReplicas(ColdReplicas.Change change, String source) {
+    for (UpstreamReplica replica : change.cold()) {
+      log.write(
+          "replica-cold",
+          "replica",
+          replica.id(),
+          "service",
+          replica.service(),
+          "listed_ms",
+          replica.warmUpMillis(),
+          "per_second",
+          rateLimits.perSecond(replica).orElseThrow(),
+          "source",
+          source);
+    }
+    for (UpstreamReplica replica : change.warm()) {
+      log.write("replica-warm", "replica", replica.id(), "service", replica.service());
+    }
+  }
+
   /** Tells the peers of a change at once if they rely on this instance to read the store. */
   private void onTableRead(boolean changed) {
     updateStatus();
@@ -386,6 +470,7 @@
     host.maxHeaderBytes(newState.limits().headerBytes());
     host.headerTimeoutMillis(newState.limits().headerMillis());
     host.idleTimeoutMillis(newState.limits().idleMillis());
+    logColdReplicas(coldReplicas.warmUps(warmUps(newState), loop.now()), "configuration");
     pieces.onState(newState);
     clients.state(newState);
     ready = !leaving;
@@ -405,6 +490,14 @@
         tables.behindMillis(TableName.CONFIGURATION));
   }
 
+  private static Map<String, WarmUp> warmUps(ServingState configuration) {
+    Map<String, WarmUp> warmUps = new HashMap<>();
+    for (ServedService service : configuration.services().values()) {
+      service.warmUp().ifPresent(warmUp -> warmUps.put(service.name(), warmUp));
+    }
+    return warmUps;
+  }
+
   private void onReplicas(TopicConsumer consumer, boolean changed) {
     if (changed) {
       List<UpstreamReplica> newReplicas = new ArrayList<>();
@@ -414,6 +507,7 @@
           .forEach((id, value) -> ReplicaReader.read(id, value).ifPresent(newReplicas::add));
       logReplicaChanges(newReplicas);
       replicas.replace(newReplicas);
+      logColdReplicas(coldReplicas.onListed(newReplicas, loop.now()), "list");
       onAvailableReplicasChanged();
     }
     onTableRead(changed);
@@ -505,9 +599,23 @@
             blocks.blockedParts(),
             blocks.blockedRequests(),
             rateLimits.inForce().size(),
+            coldReplicas.count(),
+            evacuatedSeconds(),
             tables.behindMillis(TableName.CONFIGURATION));
   }
 
+  private Map<String, Integer> evacuatedSeconds() {
+    Map<String, Integer> seconds = new HashMap<>();
+    evacuations
+        .begunAt()
+        .forEach(
+            (dataCentre, begunAt) ->
+                seconds.put(
+                    dataCentre.value(),
+                    (int) (Nanos.toMillis(loop.now() - begunAt) / MILLIS_PER_SECOND)));
+    return seconds;
+  }
+
   /** Measures how long a task waits for the event loop, and logs it if the wait is long. */
   private void measureLoopLag() {
     long postedAt = loop.now();
@@ -685,6 +793,7 @@
     public void onTick() {
       tables.updateRole();
       updateStatus();
+      logColdReplicas(coldReplicas.update(loop.now()), "time");
       updateSnapshot();
       measureLoopLag();
     }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -117,6 +117,9 @@
 
   private boolean ended;
 
+  /** Whether another instance has chosen an evacuated replica for this request. */
+  private boolean placedAtEvacuated;
+
   /** The last attempt; null before the first one. */
   private UpstreamAttempt attempt;
 
@@ -216,6 +219,8 @@
     Optional<BlockDecision> blocked = findBlocked();
     if (blocked.isPresent()) {
       failBlocked(blocked.get());
+    } else if (isAnyServiceEvacuated()) {
+      fail("evacuated");
     } else if (isBackoffPastDeadline()) {
       fail("backoff");
     } else if (route.stages().isEmpty()) {
@@ -312,9 +317,23 @@
   private Set<String> excludedReplicas() {
     Set<String> excluded = new HashSet<>(triedReplicas);
     excluded.addAll(context.replicas().unavailable(service, context.loop().now()));
+    if (placedAtEvacuated) {
+      excluded.addAll(context.replicas().evacuated(service));
+    }
     return excluded;
   }
 
+  /** Returns whether all replicas that could serve the request or a stage of it are evacuated. */
+  private boolean isAnyServiceEvacuated() {
+    for (int i = 0; i < route.stages().size() && i < request.pieceCounts().size(); i++) {
+      if (request.pieceCounts().get(i) > 0
+          && context.replicas().isEvacuated(route.stages().get(i).service())) {
+        return true;
+      }
+    }
+    return context.replicas().isEvacuated(service);
+  }
+
   /** Returns whether all replicas want no requests until after the deadline. */
   private boolean isBackoffPastDeadline() {
     long now = context.loop().now();
@@ -332,7 +351,8 @@
     } else if (replica.isEmpty()) {
       failWithoutReplica();
     } else if (!context.replicas().mayReceive(replica.get(), context.loop().now())) {
-      // The replica was chosen elsewhere before its announcement was known there.
+      // The replica was chosen elsewhere before its announcement or evacuation was known there.
+      placedAtEvacuated |= context.replicas().isEvacuated(replica.get());
       dispatch();
     } else {
       send(replica.get());
@@ -549,7 +569,7 @@
   private void failWithoutReplica() {
     OptionalDouble perSecond = context.rateLimits().totalPerSecond(notLeaving());
     if (perSecond.isEmpty()) {
-      fail("no-replica");
+      fail(context.replicas().isEvacuated(service) ? "evacuated" : "no-replica");
       return;
     }
     context
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
@@ -8,7 +8,7 @@
  *
  * @param configurationVersion version of the configuration in force, or -1 if there is none
  * @param replicasByState number of listed replicas by state: "usable", "resting" (cooling down
- *     after failures) or "leaving"
+ *     after failures), "evacuated" or "leaving"
  * @param queueWaitMillis expected queue wait of a new piece in milliseconds, by name of each
  *     service batched at this instance
  * @param liveInstances number of live instances, including this one
@@ -18,6 +18,9 @@
  * @param blockedPromptParts number of prompt parts whose requests are rejected
  * @param blockedRequests number of requests whose repeats are rejected
  * @param limitedReplicas number of replicas that limit their request rate
+ * @param coldReplicas number of cold replicas
+ * @param evacuatedSeconds time since this instance learned of each evacuation in seconds, by name
+ *     of the data centre
  * @param configurationBehindMillis time for which a live peer has had changes of the configuration
  *     that this instance lacks, in milliseconds, 0 if there is none
  */
@@ -31,16 +34,19 @@
     int blockedPromptParts,
     int blockedRequests,
     int limitedReplicas,
+    int coldReplicas,
+    Map<String, Integer> evacuatedSeconds,
     long configurationBehindMillis) {
 
   /** State of an instance that has read nothing from the store and knows no peer. */
   static final StateSnapshot NONE =
-      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0, 0);
+      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0, 0, Map.of(), 0);
 
   /** Copies the maps. */
   StateSnapshot {
     replicasByState = Map.copyOf(replicasByState);
     queueWaitMillis = Map.copyOf(queueWaitMillis);
     retriesLeft = Map.copyOf(retriesLeft);
+    evacuatedSeconds = Map.copyOf(evacuatedSeconds);
   }
 }
