--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ColdReplicas.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ColdReplicas.java
@@ -138,7 +138,7 @@
     Map<String, UpstreamReplica> current = new LinkedHashMap<>();
     for (UpstreamReplica replica : listed) {
       Optional<WarmUp> warmUp = warmUp(replica);
-      if (warmUp.isPresent() && isCold(replica.incarnation(), warmUp.get(), now)) {
+      if (warmUp.isPresent() && isColdNow(replica.incarnation(), warmUp.get(), now)) {
         current.put(replica.incarnation(), replica);
       }
     }
@@ -151,7 +151,7 @@
     return new Change(nowCold, nowWarm);
   }
 
-  private boolean isCold(String name, WarmUp warmUp, long now) {
+  private boolean isColdNow(String name, WarmUp warmUp, long now) {
     Long since = assumedSince.get(name);
     if (since != null && now - since >= Nanos.ofMillis(warmUp.millis())) {
       assumedSince.remove(name);
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/EvacuationTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/EvacuationTest.java
@@ -216,7 +216,7 @@
     only.setBehaviour(ReplicaStandin.Behaviour.STREAM);
     only.setEventIntervalMillis(700);
     instances.addAll(startReadyInstances(1));
-    var stream =
+    final var stream =
         client.fetch(
             "test",
             SampleTraffic.longStreamRequest(instances.get(0).settings().clients(), "l", "key"));
