--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/OverlappingFaultsSoakTest.java
@@ -31,7 +31,8 @@
  * Runs three instances under load while faults overlap in random order: instances that stop or are
  * closed and start again, a store that returns from a copy, engines that announce their shutdown or
  * a pause or state a limit on their request rate, prompts that crash engines, a repeated request
- * that does so too, and withdrawn keys. More seeds: -Dsoak.first=1 -Dsoak.seeds=50
+ * that does so too, withdrawn keys, engines that are cold after their start, and a data centre that
+ * is evacuated and returns cold. More seeds: -Dsoak.first=1 -Dsoak.seeds=50
  */
 class OverlappingFaultsSoakTest extends GatewayRig {
 
@@ -56,6 +57,14 @@
   private static final int CRASHES_TO_DETECT_REQUEST = 3;
   private static final int MAX_LATE_REQUESTS = 3;
   private static final int MAX_LIMIT_DELAY_MILLIS = 4_000;
+  private static final String EVACUATED = "b";
+  private static final int MAX_EVACUATION_DELAY_MILLIS = 3_000;
+  private static final int MIN_EVACUATION_MILLIS = 6_000;
+  private static final int EVACUATION_SPREAD_MILLIS = 2_000;
+  private static final int WARM_UP_SECONDS = 2;
+  private static final double COLD_PER_SECOND = 5;
+  private static final double COLD_ALLOWED = 1.5 * COLD_PER_SECOND + 5;
+  private static final long SECOND_NANOS = 1_000_000_000L;
   private static final List<Double> LIMITS_PER_SECOND = List.of(0.5, 1.0, 1.7, 5.0, 20.0);
 
   private final List<Engine> engines = new CopyOnWriteArrayList<>();
@@ -80,8 +89,13 @@
   /** Replicas that state a limit, in requests a second. */
   private final Map<ReplicaStandin, Double> limitsPerSecond = new ConcurrentHashMap<>();
 
+  /** Start and end of the evacuation, as acknowledged by the store. */
+  private final long[] evacuation = {Long.MAX_VALUE, Long.MAX_VALUE};
+
+  private volatile boolean evacuating;
   private volatile int version = FIRST_VERSION;
   private volatile boolean returning;
+  private volatile boolean trafficStarted;
   private volatile boolean stopped;
   private Random random;
 
@@ -92,11 +106,29 @@
     private final List<Long> pauses = new CopyOnWriteArrayList<>();
     private volatile boolean pausing;
     private volatile long leavingSince;
+    private final String dataCentre;
+
+    /** When it was first listed; cold from then on, except before the traffic. */
+    private final long listedAt = System.nanoTime();
+
+    private final boolean coldAtStart;
 
-    private Engine(String id, ReplicaStandin standin) {
+    private Engine(String id, ReplicaStandin standin, String dataCentre, boolean coldAtStart) {
       this.id = id;
       this.standin = standin;
+      this.dataCentre = dataCentre;
+      this.coldAtStart = coldAtStart;
     }
+
+    private String listEntry() {
+      long leftNanos = WARM_UP_SECONDS * SECOND_NANOS - (System.nanoTime() - listedAt);
+      long leftMillis = coldAtStart ? Math.max(0, leftNanos / 1_000_000) : 0;
+      return standin.listEntry(SampleTraffic.ENGINE, dataCentre, 1, leftMillis);
+    }
+  }
+
+  private static String configuration(int version) {
+    return SampleTraffic.configuration(version, "key" + version, WARM_UP_SECONDS, COLD_PER_SECOND);
   }
 
   static Stream<Integer> seeds() {
@@ -108,7 +140,7 @@
   @MethodSource("seeds")
   void promisesHoldUnderOverlappingFaults(int seed) throws Exception {
     random = new Random(seed);
-    store.putConfiguration(SampleTraffic.configuration(version, "key" + version));
+    store.putConfiguration(configuration(version));
     store.takeCopy();
     for (int i = 0; i < INSTANCES; i++) {
       instances.put(i, start(i));
@@ -135,6 +167,8 @@
     Random repeatRandom = new Random(seed * 100L + 99);
     threads.add(new Thread(() -> repeatCrashingRequestUntilStopped(repeatRandom)));
     threads.add(new Thread(this::writeHeartbeatsUntilStopped));
+    threads.add(new Thread(() -> evacuateOnce(new Random(31L * seed + 7))));
+    trafficStarted = true;
     threads.forEach(Thread::start);
     long start = System.nanoTime();
     Random limitRandom = new Random(~(long) seed);
@@ -168,12 +202,13 @@
       String id = "c-" + started.incrementAndGet();
       ReplicaStandin standin =
           closeAfterTest(ReplicaStandin.start(id, freeEndpoint(FIRST_ADDRESS)));
-      Engine started = new Engine(id, standin);
+      String dataCentre = this.started.get() % 2 == 0 ? EVACUATED : "a";
+      Engine started = new Engine(id, standin, dataCentre, trafficStarted);
       standin.setBehaviour(Behaviour.STREAM);
       standin.crashOn(CRASHING_PART, () -> replaceCrashed(started, crashTimes));
       standin.crashOnPath(CRASHING_PATH, () -> replaceCrashed(started, repeatedCrashTimes));
       engines.add(started);
-      store.putReplica(id, standin.listEntry(SampleTraffic.ENGINE, false));
+      store.putReplica(id, started.listEntry());
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -261,7 +296,8 @@
           store.setFault(StoreStandin.Fault.NONE);
           outage[1] = System.nanoTime();
           sleep(300);
-          store.putConfiguration(SampleTraffic.configuration(version, "key" + version));
+          store.putConfiguration(configuration(version));
+          writeEvacuation();
           returning = false;
         });
   }
@@ -298,11 +334,68 @@
     if (!returning) {
       replacedAt.put(version, System.nanoTime());
       int next = version + 1;
-      store.putConfiguration(SampleTraffic.configuration(next, "key" + next));
+      store.putConfiguration(configuration(next));
       version = next;
     }
   }
 
+  /** Evacuates a data centre for a time; the operator writes nothing while the store returns. */
+  private void evacuateOnce(Random evacuationRandom) {
+    sleep(evacuationRandom.nextInt(MAX_EVACUATION_DELAY_MILLIS));
+    await(() -> !returning);
+    evacuating = true;
+    writeEvacuation();
+    evacuation[0] = System.nanoTime();
+    sleep(MIN_EVACUATION_MILLIS + evacuationRandom.nextInt(EVACUATION_SPREAD_MILLIS));
+    await(() -> !returning);
+    evacuation[1] = System.nanoTime();
+    evacuating = false;
+    writeEvacuation();
+  }
+
+  private void writeEvacuation() {
+    if (evacuating) {
+      store.putEvacuation(EVACUATED);
+    } else {
+      store.removeEvacuation(EVACUATED);
+    }
+  }
+
+  /** Checks that nothing arrives during the evacuation, and what cold engines get in a second. */
+  private void checkEvacuationAndWarmUp(Engine engine) {
+    List<Long> arrivals = engine.standin.receivedNanos();
+    if (engine.dataCentre.equals(EVACUATED)) {
+      long late =
+          arrivals.stream()
+              .filter(t -> t - evacuation[0] > APPLY_NANOS + STABILITY_NANOS)
+              .filter(t -> t - evacuation[1] < 0 && !isCoreUnstable(t))
+              .count();
+      if (late > 0) {
+        violations.add(engine.id + " got " + late + " requests while it was evacuated");
+      }
+      checkCold(engine, arrivals, evacuation[1]);
+    }
+    if (engine.coldAtStart) {
+      checkCold(engine, arrivals, engine.listedAt);
+    }
+  }
+
+  private void checkCold(Engine engine, List<Long> arrivals, long since) {
+    List<Long> whileCold =
+        arrivals.stream()
+            .filter(t -> t - since >= 0 && t - since < WARM_UP_SECONDS * SECOND_NANOS)
+            .sorted()
+            .toList();
+    for (long first : whileCold) {
+      long inSecond =
+          whileCold.stream().filter(t -> t - first >= 0 && t - first < SECOND_NANOS).count();
+      if (inSecond > COLD_ALLOWED) {
+        violations.add(engine.id + " got " + inSecond + " requests in a second while cold");
+        return;
+      }
+    }
+  }
+
   private static void inBackground(Runnable task) {
     Thread thread = new Thread(task, "fault");
     thread.setDaemon(true);
@@ -313,8 +406,7 @@
   private void writeHeartbeatsUntilStopped() {
     while (!stopped) {
       store.putReplica("i-2", worker.listEntry(SampleTraffic.WORKER, false));
-      engines.forEach(
-          e -> store.putReplica(e.id, e.standin.listEntry(SampleTraffic.ENGINE, false)));
+      engines.forEach(e -> store.putReplica(e.id, e.listEntry()));
       formerEngines.forEach(e -> store.putReplica(e.id, ""));
       for (int i = 0; i < PLAIN_REPLICAS; i++) {
         store.putReplica("p-" + i, plainReplicas.get(i).listEntry(SampleTraffic.PLAIN, false));
@@ -440,6 +532,7 @@
         violations.add(each.id + " got " + late + " requests after it had left");
       }
       each.pauses.forEach(start -> checkPause(each, start));
+      checkEvacuationAndWarmUp(each);
     }
     limitsPerSecond.forEach(this::checkLimit);
     rejectedIds.stream()
