--- a/arbutusspar-bench/src/main/java/org/arbutusspar/bench/LimitFigures.java
+++ b/arbutusspar-bench/src/main/java/org/arbutusspar/bench/LimitFigures.java
@@ -4,24 +4,28 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
+import org.arbutusspar.core.placement.ColdBound;
+import org.arbutusspar.core.placement.ColdReplicas;
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.SendPermits;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.WarmUp;
 
 /**
- * Compares ways to keep the limit on the request rate that a replica states for all instances
+ * Compares ways to keep the limit on the request rate that a replica has for all instances
  * together, on a virtual clock: permits of one holder, as the instances use them, equal shares of
  * the limit, and a limiter at each instance. For each it prints the largest number of requests in
- * any four seconds against what the users allow, and how much of the limit is used.
+ * any window against what the users allow, and how much of the limit is used; both for limits that
+ * replicas state, and for replicas that are cold all the time.
  */
 public final class LimitFigures {
 
   private static final int[] SIZES = {6, 30, 100, 300};
-  private static final double[] LIMITS = {0.5, 1.7, 20, 200};
   private static final int RUN_SECONDS = 120;
 
   /** Requests for the replica as a multiple of its limit. */
@@ -39,7 +43,8 @@
   /** Time within which all instances know of a move. */
   private static final int MOVE_MILLIS = 400;
 
-  private static final double WINDOW_SECONDS = 4;
+  private static final double ALLOWED_RATIO = 1.5;
+  private static final double ALLOWANCE = 5;
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double NANOS_PER_MICRO = 1e3;
 
@@ -47,6 +52,7 @@
       new UpstreamReplica(
           "replica", "service", new Endpoint("10.0.0.1", 80), DataCentre.of("a"), 8, false, 1);
 
+  private final Kind kind;
   private final Way way;
   private final int size;
   private final double perSecond;
@@ -62,9 +68,28 @@
     LOCAL
   }
 
+  /** Why a replica has a limit, with the window of the users' rule and the limits to be run. */
+  private enum Kind {
+    STATED(4, 0.5, 1.7, 20, 200),
+    COLD(1, 1, 10, 100);
+
+    private final double windowSeconds;
+    private final double[] limits;
+
+    Kind(double windowSeconds, double... limits) {
+      this.windowSeconds = windowSeconds;
+      this.limits = limits;
+    }
+
+    private double allowed(double perSecond) {
+      return ALLOWED_RATIO * windowSeconds * perSecond + ALLOWANCE;
+    }
+  }
+
   private record Decision(long at, int decider) {}
 
-  private LimitFigures(Way way, int size, double perSecond, long seed) {
+  private LimitFigures(Kind kind, Way way, int size, double perSecond, long seed) {
+    this.kind = kind;
     this.way = way;
     this.size = size;
     this.perSecond = perSecond;
@@ -79,26 +104,28 @@
   public static void main(String[] args) {
     int seeds = Integer.parseInt(args[0]);
     System.out.println(
-        "way;instances;limit;demand;allowed in 4 s;worst in 4 s;breaches;least use;mean use");
-    for (Way way : Way.values()) {
-      for (int size : SIZES) {
-        for (double limit : LIMITS) {
-          for (boolean skewed : new boolean[] {false, true}) {
-            printRow(way, size, limit, skewed, seeds);
+        "kind;way;instances;limit;demand;window s;allowed;worst;breaches;least use;mean use");
+    for (Kind kind : Kind.values()) {
+      for (Way way : Way.values()) {
+        for (int size : SIZES) {
+          for (double limit : kind.limits) {
+            printRow(kind, way, size, limit, false, seeds);
+            printRow(kind, way, size, limit, true, seeds);
           }
         }
       }
     }
   }
 
-  private static void printRow(Way way, int size, double limit, boolean skewed, int seeds) {
-    double allowed = 1.5 * WINDOW_SECONDS * limit + 5;
+  private static void printRow(
+      Kind kind, Way way, int size, double limit, boolean skewed, int seeds) {
+    double allowed = kind.allowed(limit);
     int worst = 0;
     int breaches = 0;
     double leastUse = Double.MAX_VALUE;
     double totalUse = 0;
     for (int seed = 1; seed <= seeds; seed++) {
-      LimitFigures run = new LimitFigures(way, size, limit, seed);
+      LimitFigures run = new LimitFigures(kind, way, size, limit, seed);
       run.play(skewed);
       int most = run.mostInWindow();
       worst = Math.max(worst, most);
@@ -109,11 +136,13 @@
     }
     System.out.printf(
         Locale.ROOT,
-        "%s;%d;%.1f;%s;%.1f;%d;%d of %d;%.2f;%.2f%n",
+        "%s;%s;%d;%.1f;%s;%.0f;%.1f;%d;%d of %d;%.2f;%.2f%n",
+        kind.name().toLowerCase(Locale.ROOT),
         way.name().toLowerCase(Locale.ROOT).replace('_', ' '),
         size,
         limit,
         skewed ? "skewed" : "even",
+        kind.windowSeconds,
         allowed,
         worst,
         breaches,
@@ -150,9 +179,19 @@
     if (way != Way.HOLDER) {
       return new TokenBucket(way == Way.EQUAL_SHARES ? perSecond / size : perSecond);
     }
+    ColdReplicas cold = ColdReplicas.create();
     ReplicaRateLimits limits =
-        ReplicaRateLimits.create((service, now) -> number == holder(now) ? 1 : 0);
-    limits.onStated(REPLICA, perSecond, 0);
+        ReplicaRateLimits.create(
+            (service, now) -> number == holder(now) ? 1 : 0,
+            cold,
+            new ColdBound(ALLOWED_RATIO, ALLOWANCE));
+    if (kind == Kind.STATED) {
+      limits.onStated(REPLICA, perSecond, 0);
+    } else {
+      long warmUpMillis = RUN_SECONDS * 1_000L;
+      cold.warmUps(Map.of(REPLICA.service(), new WarmUp(warmUpMillis, perSecond)), 0);
+      cold.onListed(List.of(REPLICA.withWarmUp(warmUpMillis)), 0);
+    }
     return limits;
   }
 
@@ -186,7 +225,7 @@
     int most = 0;
     int first = 0;
     for (int last = 0; last < sorted.size(); last++) {
-      while (sorted.get(last) - sorted.get(first) >= seconds(WINDOW_SECONDS)) {
+      while (sorted.get(last) - sorted.get(first) >= seconds(kind.windowSeconds)) {
         first++;
       }
       most = Math.max(most, last - first + 1);
