Pace of replicas that start or recover, learned from their responses

Cause: a replica that has just started is the best choice for every request at once, also if it is slow. Each request that broke off in one crash doubled the cooldown, so that a replica with a few requests in flight was left out for 4.8 s, and then taken at full rate. An instance that had seen one failure of a replica of a plain service chose it no more while the others had room, since only its own responses could have lowered the cost of the failure.

Change: ReplicaPace gives choosers the number of requests in flight up to which a replica is chosen. LearnedReplicaPace starts low, doubles with responses in time, halves with slow ones and failures, and tests a failed replica by one in ten requests of the service at most. In effect for services with a warm-up, or whose replicas state how long work takes. EnginePlacer and ReplicaRegistry ask it; onResponseStarted and onValidResponse take the time for it, and a PlacementRequest says whether the request may be repeated. No existing check has changed.

Values: a sixteenth of 32 slots is two requests, which need four to five responses' time to reach all slots. Three times the usual time tells a replica that is slow from one on a machine at half speed.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -48,6 +48,9 @@
   /** Number of recent prompt keys whose parts a replica is assumed to have in its cache. */
   private static final int MAX_PROMPT_KEYS_PER_REPLICA = 256;
 
+  /** Expected time to the start of a response besides the time of reading, in milliseconds. */
+  private static final double MIN_EXPECTED_MILLIS = 100;
+
   private static final long FIRST_COOLDOWN_MILLIS = 300;
   private static final int MAX_COOLDOWN_DOUBLINGS = 4;
 
@@ -58,9 +61,11 @@
   private final Map<String, PlacedRequest> placed = new LinkedHashMap<>();
 
   private final SendPermits permits;
+  private final ReplicaPace pace;
 
-  private EnginePlacer(SendPermits permits) {
+  private EnginePlacer(SendPermits permits, ReplicaPace pace) {
     this.permits = permits;
+    this.pace = pace;
   }
 
   /** Returns a placer without replicas that needs no permits. */
@@ -75,7 +80,19 @@
    * @return the placer
    */
   public static EnginePlacer create(SendPermits permits) {
-    return new EnginePlacer(Objects.requireNonNull(permits, "permits"));
+    return create(permits, ReplicaPace.NONE);
+  }
+
+  /**
+   * Returns a placer without replicas.
+   *
+   * @param permits permits of which one is taken for each placed request, not null
+   * @param pace pace of replicas that start or recover, not null
+   * @return the placer
+   */
+  public static EnginePlacer create(SendPermits permits, ReplicaPace pace) {
+    return new EnginePlacer(
+        Objects.requireNonNull(permits, "permits"), Objects.requireNonNull(pace, "pace"));
   }
 
   /**
@@ -108,10 +125,14 @@
             .filter(engine -> engine.isHealthy(now) || !anyHealthy)
             .toList();
     Optional<EngineReplica> hashedEngine = hashedEngine(request, candidates);
-    Optional<EngineReplica> best =
+    List<EngineReplica> withRoom =
         candidates.stream()
             .filter(engine -> engine.inFlight < MAX_SLOT_SHARE * engine.replica.slots())
+            .filter(engine -> engine.inFlight < pace.maxLimit(engine.replica, now))
             .filter(engine -> permits.isAvailable(engine.replica, now))
+            .toList();
+    Optional<EngineReplica> best =
+        preferWithinPace(withRoom, now).stream()
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
@@ -121,6 +142,15 @@
     return best.map(engine -> engine.replica);
   }
 
+  /** Returns the replicas that are within their pace, or all if none is. */
+  private List<EngineReplica> preferWithinPace(List<EngineReplica> withRoom, long now) {
+    List<EngineReplica> withinPace =
+        withRoom.stream()
+            .filter(engine -> engine.inFlight < pace.limit(engine.replica, now))
+            .toList();
+    return withinPace.isEmpty() ? withRoom : withinPace;
+  }
+
   /**
    * Returns the replica that is preferred for prompt parts which no candidate is known to have
    * read. Rendezvous hashing selects the same replica at every placer, so a new placer sends
@@ -140,21 +170,35 @@
   }
 
   private void recordPlacement(EngineRequest request, EngineReplica engine, long now) {
-    long unreadTokens = engine.tokensToRead(request);
+    final long unreadTokens = engine.tokensToRead(request);
     permits.take(engine.replica, now);
+    pace.onChosen(engine.replica, now);
     engine.inFlight++;
     engine.unreadTokens += unreadTokens;
     engine.addPromptKey(request.promptKey());
-    placed.put(request.id(), new PlacedRequest(request.origin(), engine, unreadTokens, now));
+    double expectedMillis = MIN_EXPECTED_MILLIS + engine.unreadTokens / READ_TOKENS_PER_MILLI;
+    placed.put(
+        request.id(),
+        new PlacedRequest(request.origin(), engine, unreadTokens, expectedMillis, now));
   }
 
-  /** Records that the response to a request has started, which means that its prompt is read. */
-  public void onResponseStarted(String requestId) {
+  /**
+   * Records that the response to a request has started, which means that its prompt is read.
+   *
+   * @param requestId identifier of the request, not null
+   * @param now current monotonic time, in nanoseconds
+   */
+  public void onResponseStarted(String requestId, long now) {
     PlacedRequest placedRequest = placed.get(requestId);
     if (placedRequest != null && !placedRequest.responseStarted) {
       placedRequest.responseStarted = true;
       placedRequest.engine.unreadTokens -= placedRequest.unreadTokens;
       placedRequest.engine.cooldown.succeeded();
+      pace.onResponse(
+          placedRequest.engine.replica,
+          Nanos.toMillis(now - placedRequest.placedAt),
+          placedRequest.expectedMillis,
+          now);
     }
   }
 
@@ -176,7 +220,11 @@
       placedRequest.engine.unreadTokens -= placedRequest.unreadTokens;
     }
     if (!responded) {
-      placedRequest.engine.onNoResponse(now);
+      EngineReplica engine = placedRequest.engine;
+      engine.promptKeys.clear();
+      if (!pace.onFailure(engine.replica, placedRequest.placedAt, now)) {
+        engine.cooldown.failed(now);
+      }
     }
   }
 
@@ -249,13 +297,20 @@
     private final String origin;
     private final EngineReplica engine;
     private final long unreadTokens;
+    private final double expectedMillis;
     private final long placedAt;
     private boolean responseStarted;
 
-    private PlacedRequest(String origin, EngineReplica engine, long unreadTokens, long placedAt) {
+    private PlacedRequest(
+        String origin,
+        EngineReplica engine,
+        long unreadTokens,
+        double expectedMillis,
+        long placedAt) {
       this.origin = origin;
       this.engine = engine;
       this.unreadTokens = unreadTokens;
+      this.expectedMillis = expectedMillis;
       this.placedAt = placedAt;
     }
   }
@@ -305,10 +360,5 @@
     private boolean isHealthy(long now) {
       return !cooldown.isCoolingDown(now);
     }
-
-    private void onNoResponse(long now) {
-      cooldown.failed(now);
-      promptKeys.clear();
-    }
   }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -31,21 +32,37 @@
    */
   private static final double MAX_COOLING_DOWN_SHARE = 0.5;
 
+  /** Expected response time; the requests of a service are taken for equal. */
+  private static final double EXPECTED_MILLIS = 1;
+
   private Map<String, List<UpstreamReplica>> byService = Map.of();
   private Map<String, UpstreamReplica> byId = Map.of();
   private Map<Endpoint, UpstreamReplica> byEndpoint = Map.of();
   private final Map<String, ReplicaLoad> loads = new HashMap<>();
+  private final ReplicaPace pace;
   private final ReplicaAvailability availability = ReplicaAvailability.create();
   private Collection<UpstreamReplica> lastListed = List.of();
 
   /** Identifiers of replicas that leave by their own word but not by the list, by service. */
   private Map<String, Set<String>> leavingUnlisted = Map.of();
 
-  private ReplicaRegistry() {}
+  private ReplicaRegistry(ReplicaPace pace) {
+    this.pace = pace;
+  }
 
-  /** Returns a registry without replicas. */
+  /** Returns a registry without replicas that paces none. */
   public static ReplicaRegistry create() {
-    return new ReplicaRegistry();
+    return create(ReplicaPace.NONE);
+  }
+
+  /**
+   * Returns a registry without replicas.
+   *
+   * @param pace pace of replicas that start or recover, not null
+   * @return the registry
+   */
+  public static ReplicaRegistry create(ReplicaPace pace) {
+    return new ReplicaRegistry(Objects.requireNonNull(pace, "pace"));
   }
 
   /**
@@ -133,6 +150,11 @@
     return byId.values().stream().filter(replica -> !ids.contains(replica.id())).toList();
   }
 
+  /** Returns the listed replicas of all services that are not leaving. */
+  public List<UpstreamReplica> notLeaving() {
+    return byService.values().stream().flatMap(List::stream).toList();
+  }
+
   /** Returns the listed replicas of a service that are not leaving, cooling down or not. */
   public List<UpstreamReplica> notLeaving(String service) {
     return byService.getOrDefault(service, List.of());
@@ -235,13 +257,34 @@
     List<UpstreamReplica> healthy =
         listed.stream().filter(replica -> !load(replica).isCoolingDown(now)).toList();
     boolean enoughHealthy = healthy.size() >= listed.size() * (1 - MAX_COOLING_DOWN_SHARE);
-    List<Placement.Candidate> candidates =
+    List<UpstreamReplica> withRoom =
         (enoughHealthy ? healthy : listed)
             .stream()
                 .filter(replica -> hasCapacity(replica, now))
-                .map(replica -> candidate(replica, now))
+                .filter(replica -> load(replica).estimate(now) < pace.maxLimit(replica, now))
                 .toList();
-    return placement.choose(request, candidates).map(Placement.Candidate::replica);
+    List<Placement.Candidate> candidates =
+        preferWithinPace(withRoom, request.repeatable(), now).stream()
+            .map(replica -> candidate(replica, now))
+            .toList();
+    Optional<UpstreamReplica> chosen =
+        placement.choose(request, candidates).map(Placement.Candidate::replica);
+    chosen.ifPresent(replica -> pace.onChosen(replica, now));
+    return chosen;
+  }
+
+  /**
+   * Returns the replicas that are within their pace, or all if none is. A request that must not be
+   * repeated tests no replica.
+   */
+  private List<UpstreamReplica> preferWithinPace(
+      List<UpstreamReplica> withRoom, boolean repeatable, long now) {
+    List<UpstreamReplica> withinPace =
+        withRoom.stream()
+            .filter(replica -> load(replica).estimate(now) < pace.limit(replica, now))
+            .filter(replica -> repeatable || !pace.isDoubtful(replica, now))
+            .toList();
+    return withinPace.isEmpty() ? withRoom : withinPace;
   }
 
   private boolean hasCapacity(UpstreamReplica replica, long now) {
@@ -300,9 +343,11 @@
    *
    * @param replica the replica, not null
    * @param millis response time in milliseconds
+   * @param now current monotonic time, in nanoseconds
    */
-  public void onValidResponse(UpstreamReplica replica, double millis) {
+  public void onValidResponse(UpstreamReplica replica, double millis, long now) {
     load(replica).onValidResponse(millis);
+    pace.onResponse(replica, millis, EXPECTED_MILLIS, now);
   }
 
   /** Counts a response that reports a failure of the request at the replica. */
@@ -311,12 +356,15 @@
   }
 
   /**
-   * Counts a request that could not be sent or got no valid response, and starts a cooldown.
+   * Counts a request that could not be sent or got no valid response, and starts a cooldown unless
+   * the replica is paced, which bounds its requests instead.
    *
    * @param replica the replica, not null
    * @param now current monotonic time, in nanoseconds
    */
   public void onNoResponse(UpstreamReplica replica, long now) {
-    load(replica).onNoResponse(now);
+    if (!pace.onFailure(replica, now, now)) {
+      load(replica).onNoResponse(now);
+    }
   }
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EnginePlacerTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EnginePlacerTest.java
@@ -73,10 +73,10 @@
   void requestsWithTheSamePromptKeyStayOnOneReplicaAtLowLoad() {
     EnginePlacer placer = placer(6, 64);
     String first = place(placer, "q0", 7, 600);
-    placer.onResponseStarted("q0");
+    placer.onResponseStarted("q0", 0);
     for (int i = 1; i < 6; i++) {
       assertEquals(first, place(placer, "q" + i, 7, 600));
-      placer.onResponseStarted("q" + i);
+      placer.onResponseStarted("q" + i, 0);
     }
   }
 
@@ -96,7 +96,7 @@
         replicasByPromptKey
             .computeIfAbsent(promptKey, s -> new HashSet<>())
             .add(place(placer, id, promptKey, 600));
-        placer.onResponseStarted(id);
+        placer.onResponseStarted(id, 0);
         if (i >= 12) {
           placer.onEnded("q" + placerNumber + "-" + (i - 12), true, 0);
         }
@@ -111,7 +111,7 @@
     EnginePlacer placer = placer(2, 64);
     String first = place(placer, "q0", 7, 15_000);
     assertNotEquals(first, place(placer, "q1", 7, 15_000));
-    placer.onResponseStarted("q0");
+    placer.onResponseStarted("q0", 0);
     assertEquals(first, place(placer, "q2", 7, 600));
   }
 
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlacementTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlacementTest.java
@@ -37,7 +37,7 @@
   }
 
   private static PlacementRequest request(long promptKey, long tieBreaker) {
-    return new PlacementRequest("s", promptKey, Set.of(), tieBreaker);
+    return new PlacementRequest("s", promptKey, Set.of(), true, tieBreaker);
   }
 
   private static String choose(
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaAvailabilityTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ReplicaAvailabilityTest.java
@@ -80,7 +80,7 @@
     ReplicaRegistry registry = ReplicaRegistry.create();
     registry.replace(List.of(replica("r", 1)));
     registry.onBackoff(replica("r", 1), 1_000, 0);
-    PlacementRequest request = new PlacementRequest("s", 0, Set.of(), 7);
+    PlacementRequest request = new PlacementRequest("s", 0, Set.of(), true, 7);
     Placement placement = LeastLoadPlacement.create();
     assertEquals(Optional.empty(), registry.choose(request, placement, SECOND - 1));
     assertTrue(registry.choose(request, placement, SECOND).isPresent());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -9,6 +9,7 @@
 import org.arbutusspar.core.peer.PeerTable;
 import org.arbutusspar.core.placement.CrashingPartDetector;
 import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.ReplicaPace;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.SendPermits;
@@ -37,6 +38,7 @@
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
   private final SendPermits permits;
+  private final ReplicaPace pace;
   private final EventLoop loop;
   private final BlockList blocks;
   private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
@@ -52,12 +54,14 @@
       PeerNetwork peerNetwork,
       ReplicaRegistry replicas,
       SendPermits permits,
+      ReplicaPace pace,
       EventLoop loop,
       BlockList blocks) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
     this.permits = permits;
+    this.pace = pace;
     this.loop = loop;
     this.blocks = blocks;
   }
@@ -145,7 +149,7 @@
     return placers.computeIfAbsent(
         service,
         name -> {
-          EnginePlacer placer = EnginePlacer.create(permits);
+          EnginePlacer placer = EnginePlacer.create(permits, pace);
           placer.replicas(replicas.notLeaving(name));
           return placer;
         });
@@ -195,7 +199,7 @@
     String requestId = update.requestId();
     PeerMessage.RunState state = update.state();
     if (state == PeerMessage.RunState.BEGUN) {
-      placer(service).onResponseStarted(requestId);
+      placer(service).onResponseStarted(requestId, loop.now());
     } else {
       boolean failed =
           state == PeerMessage.RunState.BROKEN || state == PeerMessage.RunState.CRASHED;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -115,6 +115,7 @@
   private final StreamHost host;
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
+  private final ReplicaPaces paces = ReplicaPaces.create(loop, log);
   private final ReplicaRegistry replicas;
   private final ReplicaRateLimits rateLimits;
   private final ReplicaAnnouncements announcements;
@@ -163,14 +164,15 @@
             settings.capacity());
     peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
-    replicas = ReplicaRegistry.create();
+    replicas = ReplicaRegistry.create(paces.chosenAlone());
     rateLimits = ReplicaRateLimits.create(this::decisionShare);
     announcements = ReplicaAnnouncements.create(replicas, rateLimits, peerNetwork, loop, log);
     announcements.onReplicasChanged(this::onAvailableReplicasChanged);
     blockPublisher = BlockPublisher.create(peerNetwork, store, loop, log);
     blocks = BlockList.create(System::currentTimeMillis, log, blockPublisher);
     crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
-    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, blocks);
+    engines =
+        new EnginePlacement(peers, peerNetwork, replicas, rateLimits, paces.placed(), loop, blocks);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -181,6 +183,7 @@
             client,
             replicas,
             rateLimits,
+            paces,
             announcements,
             engines,
             blocks,
@@ -287,6 +290,11 @@
         "arbutusspar_limited_replicas",
         "Replicas that limit the rate of the requests of all instances together",
         () -> snapshot.limitedReplicas());
+    metrics.gauges(
+        "arbutusspar_paced_replicas",
+        "Replicas that have started or failed lately and get few requests from this instance",
+        "service",
+        () -> snapshot.pacedReplicas());
     metrics.gauge(
         "arbutusspar_configuration_behind_milliseconds",
         "Time for which a live peer has had changes of the configuration that this instance lacks",
@@ -386,6 +394,7 @@
     host.maxHeaderBytes(newState.limits().headerBytes());
     host.headerTimeoutMillis(newState.limits().headerMillis());
     host.idleTimeoutMillis(newState.limits().idleMillis());
+    paces.onState(newState);
     pieces.onState(newState);
     clients.state(newState);
     ready = !leaving;
@@ -420,6 +429,7 @@
   }
 
   private void onAvailableReplicasChanged() {
+    paces.onReplicas(replicas.notLeaving());
     engines.onReplicas();
     pieces.onReplicas();
   }
@@ -505,6 +515,7 @@
             blocks.blockedParts(),
             blocks.blockedRequests(),
             rateLimits.inForce().size(),
+            paces.countByService(),
             tables.behindMillis(TableName.CONFIGURATION));
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -27,6 +27,7 @@
  * @param client sends requests to replicas
  * @param replicas the listed replicas and their load
  * @param rateLimits limits on the request rate that replicas have stated
+ * @param paces paces of the replicas that start or recover
  * @param announcements applies what replicas announce about themselves
  * @param engines places requests at replicas of model engines
  * @param blocks blocks requests whose content crashes replicas
@@ -45,6 +46,7 @@
     RawClient client,
     ReplicaRegistry replicas,
     ReplicaRateLimits rateLimits,
+    ReplicaPaces paces,
     ReplicaAnnouncements announcements,
     EnginePlacement engines,
     BlockList blocks,
@@ -66,6 +68,7 @@
       RawClient client,
       ReplicaRegistry replicas,
       ReplicaRateLimits rateLimits,
+      ReplicaPaces paces,
       ReplicaAnnouncements announcements,
       EnginePlacement engines,
       BlockList blocks,
@@ -80,6 +83,7 @@
         client,
         replicas,
         rateLimits,
+        paces,
         announcements,
         engines,
         blocks,
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -342,7 +342,11 @@
   private Optional<UpstreamReplica> chooseReplica() {
     PlacementRequest placementRequest =
         new PlacementRequest(
-            service, request.promptKey(), triedReplicas, Rendezvous.hash(request.id()));
+            service,
+            request.promptKey(),
+            triedReplicas,
+            route.isRetryable(),
+            Rendezvous.hash(request.id()));
     return context
         .replicas()
         .choose(placementRequest, context.placement(isModelEngine()), context.loop().now());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
@@ -18,6 +18,8 @@
  * @param blockedPromptParts number of prompt parts whose requests are rejected
  * @param blockedRequests number of requests whose repeats are rejected
  * @param limitedReplicas number of replicas that limit their request rate
+ * @param pacedReplicas number of replicas that have started or failed lately and are paced, by name
+ *     of the service
  * @param configurationBehindMillis time for which a live peer has had changes of the configuration
  *     that this instance lacks, in milliseconds, 0 if there is none
  */
@@ -31,16 +33,18 @@
     int blockedPromptParts,
     int blockedRequests,
     int limitedReplicas,
+    Map<String, Integer> pacedReplicas,
     long configurationBehindMillis) {
 
   /** State of an instance that has read nothing from the store and knows no peer. */
   static final StateSnapshot NONE =
-      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0, 0);
+      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0, Map.of(), 0);
 
   /** Copies the maps. */
   StateSnapshot {
     replicasByState = Map.copyOf(replicasByState);
     queueWaitMillis = Map.copyOf(queueWaitMillis);
     retriesLeft = Map.copyOf(retriesLeft);
+    pacedReplicas = Map.copyOf(pacedReplicas);
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -178,6 +178,7 @@
   private void applyHeader(UpstreamResponse header, long receivedAt) {
     OptionalLong sentAt = header.valid() ? OptionalLong.of(startedAt) : OptionalLong.empty();
     context.announcements().apply(replica, header.signals(), sentAt);
+    header.load().ifPresent(load -> context.paces().onLoad(replica, load));
     header
         .runningAndWaiting()
         .ifPresent(inFlight -> context.replicas().onReport(replica, inFlight, receivedAt));
@@ -271,7 +272,7 @@
           SendVerdict.FAILED, "status-" + response.status(), Optional.of(buffered));
       return;
     }
-    context.replicas().onValidResponse(replica, elapsedMillis());
+    context.replicas().onValidResponse(replica, elapsedMillis(), context.loop().now());
     owner.onResponseStarted(response.status());
     exchange.respond(buffered.status(), buffered.fields(), ByteBuffer.wrap(buffered.body()));
     owner.onResponseForwarded(buffered.status());
@@ -283,7 +284,7 @@
       return;
     }
     logEndOfStream("between-events");
-    context.replicas().onValidResponse(replica, elapsedMillis());
+    context.replicas().onValidResponse(replica, elapsedMillis(), context.loop().now());
     exchange.endResponse();
     owner.onResponseForwarded(response.status());
   }
