--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
@@ -240,23 +240,32 @@
   }
 
   /**
-   * Guards against lost payments: replicas that fail are tested by requests that may be repeated.
+   * Guards against lost payments and idle replicas: replicas that have failed are tested by
+   * requests that may be repeated, and by no others.
    */
   @Test
-  void requestsThatMustNotBeRepeatedTestNoReplicaWhileOthersHaveRoom() {
-    ReplicaRegistry registry = ReplicaRegistry.create(pace);
-    registry.replace(List.of(replica(1), replica(2), replica(3)));
-    pace.onListed(registry.notLeaving(), 0);
-    registry.onNoResponse(replica(1), 0);
+  void onlyRequestsThatMayBeRepeatedTestReplicas() {
+    ReplicaRegistry paced = failedRegistry(pace);
+    pace.onListed(paced.notLeaving(), 0);
+    ReplicaRegistry baseline = failedRegistry(ReplicaPace.NONE);
     int tests = 0;
     for (int i = 0; i < 100; i++) {
       long now = SECOND + i * Nanos.ofMillis(10);
-      assertNotEquals("r1", choose(registry, false, i, now));
-      tests += choose(registry, true, i, now).equals("r1") ? 1 : 0;
+      assertNotEquals("r1", choose(paced, false, i, now));
+      assertNotEquals("r1", choose(baseline, true, i, now));
+      tests += choose(paced, true, i, now).equals("r1") ? 1 : 0;
     }
     assertTrue(tests > 0, "never tested");
   }
 
+  /** Returns a registry of three replicas, of which the first has failed. */
+  private static ReplicaRegistry failedRegistry(ReplicaPace pace) {
+    ReplicaRegistry registry = ReplicaRegistry.create(pace);
+    registry.replace(List.of(replica(1), replica(2), replica(3)));
+    registry.onNoResponse(replica(1), 0);
+    return registry;
+  }
+
   private static String choose(
       ReplicaRegistry registry, boolean repeatable, long tieBreaker, long now) {
     return registry
