arbutusctl check: a configuration of the platform before it is sent

Cause: instances take the first mistake of a configuration for all of it, and defaults for what is absent; a route that another hides, or a key of two tenants, was seen only in requests that failed.

The approved list of commands has the new one; no check has changed otherwise.

Attempts are not compared with the number of replicas, which the configuration does not hold.

--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
@@ -53,6 +53,7 @@
         .withDescription("Operates arbutusspar deployments")
         .withCommands(
             ValidateCommand.class,
+            CheckCommand.class,
             ApplyCommand.class,
             DiffCommand.class,
             ShowCommand.class,
--- a/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/CtlMainTest.java
+++ b/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/CtlMainTest.java
@@ -62,6 +62,33 @@
     assertEquals(2, run("call", "--instances", "127.0.0.1:1", "--key", "k", "text"));
   }
 
+  @Test
+  void checksConfigurationOfThePlatform() throws IOException {
+    String valid =
+        "{'version':2,'routes':[{'name':'r','host':'h','path_prefix':'/','service':'s',"
+            + "'route_type':'idempotent','timeout_ms':1000,'target_latency_ms':200}],"
+            + "'services':[{'name':'s'}]}";
+    Path before = Files.writeString(folder.resolve("a.json"), valid.replace('\'', '"'));
+    Path after =
+        Files.writeString(
+            folder.resolve("b.json"),
+            valid.replace('\'', '"').replace(":2,", ":3,").replace(":200", ":2000"));
+    assertEquals(0, run("check", before.toString()));
+    assertEquals("0 mistakes, 0 warnings\n", printed);
+    assertEquals(0, run("check", "--in-force", before.toString(), after.toString()));
+    assertEquals(
+        "warning: route r: target latency of 2000 ms is longer than the timeout of 1000 ms\n"
+            + "~ version\n~ route r: target_latency_ms\n0 mistakes, 1 warnings\n",
+        printed);
+    assertEquals(2, run("check", "--in-force", after.toString(), before.toString()));
+    assertTrue(printed.contains("version 2 is not above the version in force, 3"), printed);
+    assertEquals(0, run("check", "--json", "--in-force", before.toString(), after.toString()));
+    assertTrue(printed.contains("\"severity\" : \"WARNING\""), printed);
+    assertEquals(2, run("check", folder.resolve("none").toString()));
+    assertEquals(2, run("check"));
+    assertEquals(0, run("check", "--help"));
+  }
+
   @Test
   void unreachableLogExitsWithThree() {
     String config = EXAMPLES.resolve("cojulun").resolve("config").toString();
