--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/LearnedReplicaPace.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/LearnedReplicaPace.java
@@ -157,11 +157,11 @@
 
   @Override
   public int limit(UpstreamReplica replica, long now) {
-    PacedReplica known = find(replica, now);
-    if (known == null) {
+    PacedReplica found = find(replica, now);
+    if (found == null) {
       return UNLIMITED;
     }
-    return known.isDoubtful(now) ? testLimit(known, now) : (int) known.limit;
+    return found.isDoubtful(now) ? testLimit(found, now) : (int) found.limit;
   }
 
   private int testLimit(PacedReplica tested, long now) {
@@ -175,10 +175,10 @@
 
   @Override
   public int maxLimit(UpstreamReplica replica, long now) {
-    PacedReplica known = find(replica, now);
+    PacedReplica found = find(replica, now);
     boolean isTested =
-        known != null && known.isDoubtful(now) && !isMostlyDoubtful(replica.service(), now);
-    return isTested ? testLimit(known, now) : UNLIMITED;
+        found != null && found.isDoubtful(now) && !isMostlyDoubtful(replica.service(), now);
+    return isTested ? testLimit(found, now) : UNLIMITED;
   }
 
   /** Returns whether more than half of the capacity of a service is to be tested. */
