--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/LearnedReplicaPace.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/LearnedReplicaPace.java
@@ -10,7 +10,6 @@
 import org.apache.commons.lang3.Validate;
 import org.arbutusspar.core.BoundedMaps;
 import org.arbutusspar.core.Nanos;
-import org.arbutusspar.core.balancing.Endpoint;
 
 /**
  * Pace of replicas that start or recover, learned from how they respond.
@@ -84,8 +83,8 @@
   /** The replicas that are paced, by incarnation. */
   private final Map<String, PacedReplica> paced = BoundedMaps.droppingOldest(MAX_REPLICAS);
 
-  /** Recent falls by endpoint, since a replica mostly returns as another incarnation. */
-  private final Map<Endpoint, Falls> falls = BoundedMaps.droppingOldest(MAX_REPLICAS);
+  /** Recent falls by place, since a replica mostly returns as another incarnation. */
+  private final Map<String, Falls> falls = BoundedMaps.droppingOldest(MAX_REPLICAS);
 
   private final Map<String, UsualTime> usualTimes = new HashMap<>();
   private final Map<String, TestShare> testShares = new HashMap<>();
@@ -252,8 +251,13 @@
     }
   }
 
+  /** Returns the service and endpoint; other services may use the endpoint later. */
+  private static String place(UpstreamReplica replica) {
+    return replica.service() + "@" + replica.endpoint();
+  }
+
   private int recentFalls(UpstreamReplica replica, long now) {
-    Falls recent = falls.get(replica.endpoint());
+    Falls recent = falls.get(place(replica));
     return recent == null || now - recent.lastAt >= FALL_MEMORY_NANOS ? 0 : recent.count;
   }
 
@@ -271,7 +275,7 @@
     failing.onFailure(sentAt, now);
     if (isFall) {
       int count = Math.min(MAX_FALLS, recentFalls(replica, now) + 1);
-      falls.put(replica.endpoint(), new Falls(count, now));
+      falls.put(place(replica), new Falls(count, now));
       failing.reported = true;
       listener.onChange(replica, Change.FELL_BACK, (int) failing.limit);
     }
