--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EvacuationsTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EvacuationsTest.java
@@ -48,7 +48,7 @@
     assertTrue(registry.mayReceive(inB, 0));
     assertEquals(Set.of("r1"), registry.evacuated("s"));
     assertFalse(registry.isEvacuated("s"));
-    PlacementRequest request = new PlacementRequest("s", 0, Set.of("r2"), 1);
+    PlacementRequest request = new PlacementRequest("s", 0, Set.of("r2"), true, 1);
     assertEquals(Optional.empty(), registry.choose(request, LeastLoadPlacement.create(), 0));
     assertEquals(Map.of("evacuated", 1, "usable", 1), registry.countByState(0));
     registry.evacuate(Set.of());
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -124,6 +124,7 @@
   private final StreamHost host;
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
+  private final ReplicaPaces paces = ReplicaPaces.create(loop, log);
   private final ReplicaRegistry replicas;
   private final ColdReplicas coldReplicas = ColdReplicas.create();
   private final ReplicaRateLimits rateLimits;
@@ -174,7 +175,7 @@
             settings.capacity());
     peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
-    replicas = ReplicaRegistry.create();
+    replicas = ReplicaRegistry.create(paces.chosenAlone());
     ColdBound coldBound =
         new ColdBound(settings.bounds().coldRatio(), settings.bounds().coldAllowance());
     rateLimits = ReplicaRateLimits.create(this::decisionShare, coldReplicas, coldBound);
@@ -183,7 +184,8 @@
     blockPublisher = BlockPublisher.create(peerNetwork, store, loop, log);
     blocks = BlockList.create(System::currentTimeMillis, log, blockPublisher);
     crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
-    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, blocks);
+    engines =
+        new EnginePlacement(peers, peerNetwork, replicas, rateLimits, paces.placed(), loop, blocks);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -194,6 +196,7 @@
             client,
             replicas,
             rateLimits,
+            paces,
             announcements,
             engines,
             blocks,
@@ -300,6 +303,11 @@
         "arbutusspar_limited_replicas",
         "Replicas that limit the rate of the requests of all instances together",
         () -> snapshot.limitedReplicas());
+    metrics.gauges(
+        "arbutusspar_paced_replicas",
+        "Replicas that have started or failed lately and get few requests from this instance",
+        "service",
+        () -> snapshot.pacedReplicas());
     metrics.gauge(
         "arbutusspar_cold_replicas",
         "Replicas that are cold, for which requests are limited",
@@ -471,6 +479,7 @@
     host.headerTimeoutMillis(newState.limits().headerMillis());
     host.idleTimeoutMillis(newState.limits().idleMillis());
     logColdReplicas(coldReplicas.warmUps(warmUps(newState), loop.now()), "configuration");
+    paces.onState(newState);
     pieces.onState(newState);
     clients.state(newState);
     ready = !leaving;
@@ -514,6 +523,7 @@
   }
 
   private void onAvailableReplicasChanged() {
+    paces.onReplicas(replicas.notLeaving());
     engines.onReplicas();
     pieces.onReplicas();
   }
@@ -601,6 +611,7 @@
             rateLimits.inForce().size(),
             coldReplicas.count(),
             evacuatedSeconds(),
+            paces.countByService(),
             tables.behindMillis(TableName.CONFIGURATION));
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
@@ -21,6 +21,8 @@
  * @param coldReplicas number of cold replicas
  * @param evacuatedSeconds time since this instance learned of each evacuation in seconds, by name
  *     of the data centre
+ * @param pacedReplicas number of replicas that have started or failed lately and are paced, by name
+ *     of the service
  * @param configurationBehindMillis time for which a live peer has had changes of the configuration
  *     that this instance lacks, in milliseconds, 0 if there is none
  */
@@ -36,11 +38,12 @@
     int limitedReplicas,
     int coldReplicas,
     Map<String, Integer> evacuatedSeconds,
+    Map<String, Integer> pacedReplicas,
     long configurationBehindMillis) {
 
   /** State of an instance that has read nothing from the store and knows no peer. */
   static final StateSnapshot NONE =
-      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0, 0, Map.of(), 0);
+      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0, 0, Map.of(), Map.of(), 0);
 
   /** Copies the maps. */
   StateSnapshot {
@@ -48,5 +51,6 @@
     queueWaitMillis = Map.copyOf(queueWaitMillis);
     retriesLeft = Map.copyOf(retriesLeft);
     evacuatedSeconds = Map.copyOf(evacuatedSeconds);
+    pacedReplicas = Map.copyOf(pacedReplicas);
   }
 }
