Place requests by the speed of replicas that state how long work takes

Cause: one reading speed was assumed for all engines, and what replicas state of their machines was not used. Long prompts went to engines of half the speed, and to ones beside a busy neighbour.

Change: ObservedSpeeds estimates the lasting speed from the times of responses, and the passing influence of neighbours from what replicas state, by its age. PlacementUpdate brings both to the placer; EnginePlacer divides its times by the speed. Plain services leave out replicas below 0.6 of the highest speed.

Conclusion: on only where replicas state a work time; otherwise costs and messages are as before.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -33,6 +33,9 @@
   /** Assumed number of tokens that a replica reads per millisecond; it is not configured. */
   private static final double READ_TOKENS_PER_MILLI = 80;
 
+  /** Assumed time until the first event besides that for reading prompts, in milliseconds. */
+  private static final double FIRST_EVENT_MILLIS = 15;
+
   /** Cost of reading shared prompt parts again, besides the time that it takes, in milliseconds. */
   private static final double REREAD_COST_MILLIS = 40;
 
@@ -42,6 +45,9 @@
   /** Cost of each request in flight at the replica, in milliseconds. */
   private static final double IN_FLIGHT_COST_MILLIS = 2;
 
+  /** Cost of running the request itself at the usual speed, in milliseconds. */
+  private static final double OWN_COST_MILLIS = 5;
+
   /** Share of its slots up to which a replica gets requests. */
   private static final double MAX_SLOT_SHARE = 0.9;
 
@@ -58,9 +64,11 @@
   private final Map<String, PlacedRequest> placed = new LinkedHashMap<>();
 
   private final SendPermits permits;
+  private final ReplicaSpeeds speeds;
 
-  private EnginePlacer(SendPermits permits) {
+  private EnginePlacer(SendPermits permits, ReplicaSpeeds speeds) {
     this.permits = permits;
+    this.speeds = speeds;
   }
 
   /** Returns a placer without replicas that needs no permits. */
@@ -75,7 +83,19 @@
    * @return the placer
    */
   public static EnginePlacer create(SendPermits permits) {
-    return new EnginePlacer(Objects.requireNonNull(permits, "permits"));
+    return create(permits, ReplicaSpeeds.EQUAL);
+  }
+
+  /**
+   * Returns a placer without replicas.
+   *
+   * @param permits permits of which one is taken for each placed request, not null
+   * @param speeds speeds of the replicas, by which expected times are divided, not null
+   * @return the placer
+   */
+  public static EnginePlacer create(SendPermits permits, ReplicaSpeeds speeds) {
+    return new EnginePlacer(
+        Objects.requireNonNull(permits, "permits"), Objects.requireNonNull(speeds, "speeds"));
   }
 
   /**
@@ -115,7 +135,10 @@
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
-                            engine.costMillis(request, hashedEngine.filter(engine::equals)))
+                            engine.costMillis(
+                                request,
+                                hashedEngine.filter(engine::equals),
+                                speeds.relativeSpeed(engine.replica, now)))
                     .thenComparingLong(engine -> hashRank(request, engine)));
     best.ifPresent(engine -> recordPlacement(request, engine, now));
     return best.map(engine -> engine.replica);
@@ -145,7 +168,25 @@
     engine.inFlight++;
     engine.unreadTokens += unreadTokens;
     engine.addPromptKey(request.promptKey());
-    placed.put(request.id(), new PlacedRequest(request.origin(), engine, unreadTokens, now));
+    placed.put(
+        request.id(),
+        new PlacedRequest(request.origin(), engine, unreadTokens, engine.unreadTokens, now));
+  }
+
+  /**
+   * Returns the work that a placed request waits for before its response starts.
+   *
+   * @param requestId identifier of the request, not null
+   * @return the work, or empty if the request is not in flight or its response has started
+   */
+  public Optional<FirstEventWork> workBeforeResponse(String requestId) {
+    return Optional.ofNullable(placed.get(requestId))
+        .filter(request -> !request.responseStarted)
+        .map(
+            request ->
+                new FirstEventWork(
+                    request.engine.replica,
+                    FIRST_EVENT_MILLIS + request.tokensToReadFirst / READ_TOKENS_PER_MILLI));
   }
 
   /** Records that the response to a request has started, which means that its prompt is read. */
@@ -244,18 +285,36 @@
     }
   }
 
+  /**
+   * Work until the start of a response.
+   *
+   * @param replica the replica that does it
+   * @param expectedMillis time that it takes at the usual speed, in milliseconds
+   */
+  public record FirstEventWork(UpstreamReplica replica, double expectedMillis) {}
+
   /** A request in flight at a replica. Times are in nanoseconds. */
   private static final class PlacedRequest {
     private final String origin;
     private final EngineReplica engine;
     private final long unreadTokens;
+
+    /** Tokens of all prompts that the replica reads before the response starts. */
+    private final long tokensToReadFirst;
+
     private final long placedAt;
     private boolean responseStarted;
 
-    private PlacedRequest(String origin, EngineReplica engine, long unreadTokens, long placedAt) {
+    private PlacedRequest(
+        String origin,
+        EngineReplica engine,
+        long unreadTokens,
+        long tokensToReadFirst,
+        long placedAt) {
       this.origin = origin;
       this.engine = engine;
       this.unreadTokens = unreadTokens;
+      this.tokensToReadFirst = tokensToReadFirst;
       this.placedAt = placedAt;
     }
   }
@@ -278,14 +337,16 @@
       return promptKeys.containsKey(request.promptKey());
     }
 
-    private double costMillis(EngineRequest request, Optional<EngineReplica> hashedEngine) {
+    private double costMillis(
+        EngineRequest request, Optional<EngineReplica> hashedEngine, double speed) {
       boolean sharedPartsRead = hasSharedParts(request) || hashedEngine.isPresent();
-      long tokensToReadFirst = unreadTokens + tokensToRead(request);
+      double tokensToReadFirst = (unreadTokens + tokensToRead(request)) / speed;
       boolean pauses = tokensToReadFirst > MAX_TOKENS_WITHOUT_PAUSE;
       return tokensToReadFirst / READ_TOKENS_PER_MILLI
           + (sharedPartsRead || request.sharedTokens() == 0 ? 0 : REREAD_COST_MILLIS)
           + transferMillis(request)
-          + inFlight * (IN_FLIGHT_COST_MILLIS + (pauses ? STREAM_PAUSE_COST_MILLIS : 0));
+          + inFlight * (IN_FLIGHT_COST_MILLIS / speed + (pauses ? STREAM_PAUSE_COST_MILLIS : 0))
+          + OWN_COST_MILLIS * (1 / speed - 1);
     }
 
     private double transferMillis(EngineRequest request) {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusspar.core.balancing.Endpoint;
@@ -31,6 +32,14 @@
    */
   private static final double MAX_COOLING_DOWN_SHARE = 0.5;
 
+  /**
+   * Smallest share of the speed of the fastest replica at which another one is taken for equally
+   * fast. Instances that choose alone thus avoid slow replicas, but do not all rush to the one that
+   * was the fastest a moment ago.
+   */
+  private static final double SIMILAR_SPEED_SHARE = 0.6;
+
+  private final ObservedSpeeds speeds = ObservedSpeeds.create();
   private Map<String, List<UpstreamReplica>> byService = Map.of();
   private Map<String, UpstreamReplica> byId = Map.of();
   private Map<Endpoint, UpstreamReplica> byEndpoint = Map.of();
@@ -235,11 +244,13 @@
     List<UpstreamReplica> healthy =
         listed.stream().filter(replica -> !load(replica).isCoolingDown(now)).toList();
     boolean enoughHealthy = healthy.size() >= listed.size() * (1 - MAX_COOLING_DOWN_SHARE);
+    double fastest =
+        listed.stream().mapToDouble(each -> speeds.relativeSpeed(each, now)).max().orElse(1);
     List<Placement.Candidate> candidates =
         (enoughHealthy ? healthy : listed)
             .stream()
                 .filter(replica -> hasCapacity(replica, now))
-                .map(replica -> candidate(replica, now))
+                .map(replica -> candidate(replica, fastest, now))
                 .toList();
     return placement.choose(request, candidates).map(Placement.Candidate::replica);
   }
@@ -249,12 +260,20 @@
     return load(replica).estimate(now) < capacity;
   }
 
-  private Placement.Candidate candidate(UpstreamReplica replica, long now) {
+  private Placement.Candidate candidate(UpstreamReplica replica, double fastest, long now) {
     ReplicaLoad load = load(replica);
-    double cost = relativeTime(replica) * (1 + FAILURE_COST_FACTOR * load.failureShare());
+    double time =
+        speeds.isStated(replica.service())
+            ? timeBySpeed(speeds.relativeSpeed(replica, now) / fastest)
+            : relativeTime(replica);
+    double cost = time * (1 + FAILURE_COST_FACTOR * load.failureShare());
     return new Placement.Candidate(replica, load.estimate(now), cost);
   }
 
+  private static double timeBySpeed(double shareOfFastest) {
+    return shareOfFastest >= SIMILAR_SPEED_SHARE ? 1 : 1 / shareOfFastest;
+  }
+
   /**
    * Returns the mean response time of a replica relative to the mean of its service, at least 0.5;
    * 1 if one of them is unknown.
@@ -288,11 +307,12 @@
    * Records a load report of a replica.
    *
    * @param replica the replica, not null
-   * @param runningAndWaiting number of running and waiting requests at the replica
+   * @param stated the load that it states, not null
    * @param now current monotonic time, in nanoseconds
    */
-  public void onReport(UpstreamReplica replica, int runningAndWaiting, long now) {
-    load(replica).onReport(runningAndWaiting, now);
+  public void onReport(UpstreamReplica replica, StatedLoad stated, long now) {
+    load(replica).onReport(stated.runningAndWaiting(), now);
+    stated.workPercent().ifPresent(percent -> speeds.onStated(replica, percent, now));
   }
 
   /**
@@ -305,6 +325,22 @@
     load(replica).onValidResponse(millis);
   }
 
+  /**
+   * Counts a valid response to a request whose time depends on the replica more than on the
+   * request.
+   *
+   * @param replica the replica, not null
+   * @param millis response time in milliseconds
+   * @param stated load that the replica states in the response, empty if it states none
+   */
+  public void onValidResponse(UpstreamReplica replica, double millis, Optional<StatedLoad> stated) {
+    onValidResponse(replica, millis);
+    stated
+        .map(StatedLoad::workPercent)
+        .filter(OptionalInt::isPresent)
+        .ifPresent(percent -> speeds.onWork(replica, 1, millis, percent));
+  }
+
   /** Counts a response that reports a failure of the request at the replica. */
   public void onFailureResponse(UpstreamReplica replica) {
     load(replica).onFailureResponse();
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlacementTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlacementTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Endpoint;
@@ -84,7 +85,7 @@
     ReplicaRegistry registry = registry(2);
     for (int i = 0; i < 8; i++) {
       registry.onSent(replica(1, false));
-      registry.onReport(replica(2, false), 8, 0);
+      registry.onReport(replica(2, false), new StatedLoad(8, 0, 4, OptionalInt.empty()), 0);
     }
     assertEquals("none", choose(registry, LeastLoadPlacement.create(), 0, 1));
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -1,18 +1,23 @@
 package org.arbutusspar.entry.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.arbutusspar.core.peer.ActiveRoles;
 import org.arbutusspar.core.peer.PeerTable;
 import org.arbutusspar.core.placement.CrashingPartDetector;
 import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.ObservedSpeeds;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.SendPermits;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.placement.WorkObservation;
+import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.link.PeerMessage;
 
 /**
@@ -30,6 +35,14 @@
   /** Maximum wait for the response of a remote placer, in milliseconds. */
   private static final long RESPONSE_TIMEOUT_MILLIS = 60;
 
+  private static final double PERCENT = 100;
+
+  /** Ratio by which the lasting speed of a replica must change to be logged again. */
+  private static final double LOGGED_SPEED_RATIO = 1.3;
+
+  /** Maximum number of replicas whose speeds are reported as metrics. */
+  private static final int MAX_REPORTED_SPEEDS = 200;
+
   /** Prefix of a placer's role name; the name of the service follows. */
   private static final String ROLE_PREFIX = "place/";
 
@@ -39,8 +52,16 @@
   private final SendPermits permits;
   private final EventLoop loop;
   private final BlockList blocks;
+  private final EventLog log;
   private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
   private final Map<String, EnginePlacer> placers = new HashMap<>();
+
+  /** Speeds of the replicas for whose services this instance is the placer. */
+  private final ObservedSpeeds speeds = ObservedSpeeds.create();
+
+  /** Lasting speeds that were logged last, by identifier of the replica. */
+  private final Map<String, Double> loggedSpeeds = new HashMap<>();
+
   private final ActiveRoles activeRoles = ActiveRoles.create();
   private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
 
@@ -53,13 +74,15 @@
       ReplicaRegistry replicas,
       SendPermits permits,
       EventLoop loop,
-      BlockList blocks) {
+      BlockList blocks,
+      EventLog log) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
     this.permits = permits;
     this.loop = loop;
     this.blocks = blocks;
+    this.log = log;
   }
 
   /** Returns the name of the role of the placer of a service. */
@@ -145,7 +168,7 @@
     return placers.computeIfAbsent(
         service,
         name -> {
-          EnginePlacer placer = EnginePlacer.create(permits);
+          EnginePlacer placer = EnginePlacer.create(permits, speeds);
           placer.replicas(replicas.notLeaving(name));
           return placer;
         });
@@ -162,6 +185,19 @@
     sendUpdate(new PeerMessage.PlacementUpdate(service, requestId, state, ""));
   }
 
+  /**
+   * Reports to the placer of a request that the response has started.
+   *
+   * @param service name of the engine's service, not null
+   * @param requestId identifier of the request, not null
+   * @param observation how long the replica took; empty if it does not state how long work takes
+   */
+  void reportStarted(String service, String requestId, Optional<WorkObservation> observation) {
+    sendUpdate(
+        new PeerMessage.PlacementUpdate(
+            service, requestId, PeerMessage.RunState.BEGUN, "", observation));
+  }
+
   /**
    * Reports to the placer of a request that the connection to the replica broke.
    *
@@ -195,6 +231,7 @@
     String requestId = update.requestId();
     PeerMessage.RunState state = update.state();
     if (state == PeerMessage.RunState.BEGUN) {
+      update.observation().ifPresent(observation -> learnSpeed(service, requestId, observation));
       placer(service).onResponseStarted(requestId);
     } else {
       boolean failed =
@@ -207,6 +244,60 @@
     findings.cleared().forEach(blocks::permit);
   }
 
+  private void learnSpeed(String service, String requestId, WorkObservation observation) {
+    placer(service)
+        .workBeforeResponse(requestId)
+        .ifPresent(
+            work -> {
+              speeds.onWork(
+                  work.replica(),
+                  work.expectedMillis(),
+                  observation.responseMillis(),
+                  OptionalInt.of(observation.workPercent()));
+              speeds.onStated(work.replica(), observation.workPercent(), loop.now());
+            });
+  }
+
+  /** Logs the lasting speeds of replicas that have changed, for the services placed here. */
+  void logSpeeds() {
+    List<UpstreamReplica> replicasWithSpeed = replicasWithSpeed();
+    loggedSpeeds.keySet().retainAll(replicasWithSpeed.stream().map(UpstreamReplica::id).toList());
+    for (UpstreamReplica replica : replicasWithSpeed) {
+      double speed = speeds.lastingSpeed(replica);
+      double ratio = speed / loggedSpeeds.getOrDefault(replica.id(), 1.0);
+      if (ratio >= LOGGED_SPEED_RATIO || ratio <= 1 / LOGGED_SPEED_RATIO) {
+        loggedSpeeds.put(replica.id(), speed);
+        log.write(
+            "replica-speed",
+            "service",
+            replica.service(),
+            "replica",
+            replica.id(),
+            "percent",
+            Math.round(PERCENT * speed));
+      }
+    }
+  }
+
+  /** Returns the speeds of replicas in percent by their identifiers, for services placed here. */
+  Map<String, Integer> speedPercents() {
+    Map<String, Integer> percents = new HashMap<>();
+    for (UpstreamReplica replica : replicasWithSpeed()) {
+      double speed = speeds.relativeSpeed(replica, loop.now());
+      percents.put(replica.id(), (int) Math.round(PERCENT * speed));
+    }
+    return percents;
+  }
+
+  private List<UpstreamReplica> replicasWithSpeed() {
+    Set<String> roles = activeRoles();
+    return placers.keySet().stream()
+        .filter(service -> roles.contains(role(service)) && speeds.isStated(service))
+        .flatMap(service -> replicas.notLeaving(service).stream())
+        .limit(MAX_REPORTED_SPEEDS)
+        .toList();
+  }
+
   private CrashingPartDetector.Findings findings(
       CrashingPartDetector detector, PeerMessage.PlacementUpdate update) {
     String requestId = update.requestId();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -136,6 +136,9 @@
   private volatile boolean ready;
   private volatile StateSnapshot snapshot = StateSnapshot.NONE;
 
+  /** Speeds of the replicas whose requests are placed here, in percent by identifier. */
+  private volatile Map<String, Integer> replicaSpeeds = Map.of();
+
   /** Time that a task waited last for the event loop, in milliseconds. */
   private volatile long loopLagMillis;
 
@@ -170,7 +173,7 @@
     blockPublisher = BlockPublisher.create(peerNetwork, store, loop, log);
     blocks = BlockList.create(System::currentTimeMillis, log, blockPublisher);
     crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
-    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, blocks);
+    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, blocks, log);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -287,6 +290,11 @@
         "arbutusspar_limited_replicas",
         "Replicas that limit the rate of the requests of all instances together",
         () -> snapshot.limitedReplicas());
+    metrics.gauges(
+        "arbutusspar_replica_speed_percent",
+        "Speed of each replica relative to its service, at the instance that places its requests",
+        "replica",
+        () -> replicaSpeeds);
     metrics.gauge(
         "arbutusspar_configuration_behind_milliseconds",
         "Time for which a live peer has had changes of the configuration that this instance lacks",
@@ -686,6 +694,8 @@
       tables.updateRole();
       updateStatus();
       updateSnapshot();
+      replicaSpeeds = engines.speedPercents();
+      engines.logSpeeds();
       measureLoopLag();
     }
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -21,7 +21,9 @@
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.RetryRules;
 import org.arbutusspar.core.placement.SendVerdict;
+import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.routing.KeyOwner;
 import org.arbutusspar.core.routing.Route;
 import org.arbutusspar.core.routing.ServedService;
@@ -409,10 +411,19 @@
     context
         .log()
         .write("answer-begun", "id", request.id(), "status", status, "ms", elapsedMillis());
-    context.engines().report(service, request.id(), PeerMessage.RunState.BEGUN);
+    context.engines().reportStarted(service, request.id(), workObservation());
     stageRun.ifPresent(StageRun::releaseResults);
   }
 
+  private Optional<WorkObservation> workObservation() {
+    int millis = (int) Nanos.toMillis(context.loop().now() - sentAt);
+    return attempt
+        .statedLoad()
+        .map(StatedLoad::workPercent)
+        .filter(OptionalInt::isPresent)
+        .map(percent -> new WorkObservation(millis, percent.getAsInt()));
+  }
+
   @Override
   public void onResponseForwarded(int status) {
     context.engines().report(service, request.id(), PeerMessage.RunState.COMPLETED);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.placement.ExecutionRecord;
 import org.arbutusspar.core.placement.SendVerdict;
+import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.RouteKind;
 import org.arbutusspar.io.http.BodyFraming;
@@ -131,6 +132,11 @@
         || sendPhase.get() == SendPhase.REVOKED;
   }
 
+  /** Returns the load that the replica states in its response, empty if there is none yet. */
+  Optional<StatedLoad> statedLoad() {
+    return response == null ? Optional.empty() : response.load();
+  }
+
   /**
    * Abandons the attempt. Its owner is not notified of its end.
    *
@@ -178,9 +184,7 @@
   private void applyHeader(UpstreamResponse header, long receivedAt) {
     OptionalLong sentAt = header.valid() ? OptionalLong.of(startedAt) : OptionalLong.empty();
     context.announcements().apply(replica, header.signals(), sentAt);
-    header
-        .runningAndWaiting()
-        .ifPresent(inFlight -> context.replicas().onReport(replica, inFlight, receivedAt));
+    header.load().ifPresent(load -> context.replicas().onReport(replica, load, receivedAt));
   }
 
   @Override
@@ -271,7 +275,7 @@
           SendVerdict.FAILED, "status-" + response.status(), Optional.of(buffered));
       return;
     }
-    context.replicas().onValidResponse(replica, elapsedMillis());
+    context.replicas().onValidResponse(replica, elapsedMillis(), statedLoad());
     owner.onResponseStarted(response.status());
     exchange.respond(buffered.status(), buffered.fields(), ByteBuffer.wrap(buffered.body()));
     owner.onResponseForwarded(buffered.status());
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -21,6 +21,7 @@
 import org.arbutusspar.core.placement.CrashReport;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -126,6 +127,10 @@
         packer.packInt(PLACEMENT_UPDATE).packString(update.service());
         packer.packString(update.requestId()).packInt(update.state().ordinal());
         packer.packString(update.subject());
+        if (update.observation().isPresent()) {
+          packer.packInt(update.observation().get().responseMillis());
+          packer.packInt(update.observation().get().workPercent());
+        }
       } else if (message instanceof PeerMessage.Block block) {
         packer.packInt(BLOCK).packString(block.decision().subject());
         packer.packLong(block.decision().decidedMillis());
@@ -186,7 +191,8 @@
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 enumConstant(PeerMessage.RunState.values(), unpacker),
-                unpacker.hasNext() ? unpacker.unpackString() : "");
+                unpacker.hasNext() ? unpacker.unpackString() : "",
+                unpacker.hasNext() ? Optional.of(workObservation(unpacker)) : Optional.empty());
         case BLOCK ->
             new PeerMessage.Block(
                 new BlockDecision(
@@ -219,6 +225,10 @@
         statedAt);
   }
 
+  private static WorkObservation workObservation(MessageUnpacker unpacker) throws IOException {
+    return new WorkObservation(unpacker.unpackInt(), unpacker.unpackInt());
+  }
+
   private static CrashReport crashReport(MessageUnpacker unpacker, long now) throws IOException {
     return new CrashReport(
         unpacker.unpackString(),
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.io.link;
 
 import java.util.List;
+import java.util.Optional;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerState;
 import org.arbutusspar.core.peer.PeerStatus;
@@ -10,6 +11,7 @@
 import org.arbutusspar.core.placement.CrashReport;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceOutcome;
 
@@ -109,9 +111,21 @@
    * @param requestId identifier of the request
    * @param state the new state
    * @param subject subject of the request if its connection broke, otherwise the empty string
+   * @param observation how long the replica took; empty if it does not state how long work takes
    */
-  record PlacementUpdate(String service, String requestId, RunState state, String subject)
-      implements PeerMessage {}
+  record PlacementUpdate(
+      String service,
+      String requestId,
+      RunState state,
+      String subject,
+      Optional<WorkObservation> observation)
+      implements PeerMessage {
+
+    /** Creates an update without an observation; see the components of this record. */
+    public PlacementUpdate(String service, String requestId, RunState state, String subject) {
+      this(service, requestId, state, subject, Optional.empty());
+    }
+  }
 
   /**
    * Passes on a decision to block or permit requests. Also the form in which the decision is
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -28,6 +28,7 @@
 import org.arbutusspar.core.placement.CrashReport;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -92,6 +93,11 @@
             "s",
             new EnginePlacer.EngineRequest(
                 "id", "e-1", List.of("p"), 3, 4, 5, Optional.empty(), 6, List.of("r"))));
+    assertRoundTrip(
+        new PeerMessage.PlacementUpdate("s", "id", PeerMessage.RunState.CRASHED, "request/1f"));
+    assertRoundTrip(
+        new PeerMessage.PlacementUpdate(
+            "s", "id", PeerMessage.RunState.BEGUN, "", Optional.of(new WorkObservation(180, 250))));
     assertRoundTrip(new PeerMessage.Hello(PEER, List.of(PEER)));
     assertRoundTrip(
         new PeerMessage.Heartbeat(
