Place requests of plain services whose replicas state work times

Cause: an instance sees a replica of a plain service every few seconds, and a stated work time is worthless after one. Each of many instances also learned for itself which replica is slow or fails.

Change: the placer chooses for such services, as for those with a rate limit. If it finds no free slot, the instance chooses as before.

Conclusion: in the replay of ObservedSpeedsTest, thirty instances that choose alone gain little from the figures, while one placer removes more than 40% of the extra time beside neighbours.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -227,6 +227,17 @@
         : OptionalLong.of(0);
   }
 
+  /**
+   * Returns whether replicas of a service state how long work takes. One instance then chooses for
+   * all, since such figures are too old by the time of the next request of a single instance.
+   *
+   * @param service name of the service, not null
+   * @return true once one of them has
+   */
+  public boolean statesWorkTime(String service) {
+    return speeds.isStated(service);
+  }
+
   /**
    * Chooses a replica for a request from those with free capacity.
    *
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ObservedSpeedsTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ObservedSpeedsTest.java
@@ -240,4 +240,86 @@
     assertTrue(chosen.get("r1") < 100, chosen.toString());
     assertTrue(chosen.get("r2") > 30 && chosen.get("r3") > 30, chosen.toString());
   }
+
+  /**
+   * Replays a plain service of three replicas beside neighbours, with requests of thirty instances.
+   * Each instance alone sees a replica every few seconds; one placer sees it several times within
+   * the time that a neighbour stays.
+   */
+  @Test
+  void onePlacerAvoidsNeighboursThatInstancesAloneCannotFollow() {
+    List<ReplicaRegistry> registries = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      registries.add(ReplicaRegistry.create());
+      registries.get(i).replace(replicas(3));
+    }
+    ObservedSpeeds speeds = ObservedSpeeds.create();
+    double alone =
+        meanPercent(
+            (number, now) ->
+                registries
+                    .get(number % 30)
+                    .choose(
+                        new PlacementRequest("s", 0, Collections.emptySet(), number),
+                        LeastLoadPlacement.create(),
+                        now)
+                    .orElseThrow(),
+            (number, replica, percent, now) ->
+                registries
+                    .get(number % 30)
+                    .onReport(replica, new StatedLoad(0, 0, 6, OptionalInt.of(percent)), now));
+    double equal = meanPercent(placing(ReplicaSpeeds.EQUAL), (number, replica, percent, now) -> {});
+    double placed =
+        meanPercent(
+            placing(speeds),
+            (number, replica, percent, now) -> speeds.onStated(replica, percent, now));
+    assertTrue(placed - 100 < 0.6 * (equal - 100), placed + " " + equal);
+    assertTrue(placed - 100 < 0.6 * (alone - 100), placed + " " + alone);
+  }
+
+  private interface Chooser {
+    UpstreamReplica choose(int number, long now);
+  }
+
+  private interface Responses {
+    void onResponse(int number, UpstreamReplica replica, int percent, long now);
+  }
+
+  private static Chooser placing(ReplicaSpeeds speeds) {
+    EnginePlacer placer = EnginePlacer.create(SendPermits.UNLIMITED, speeds);
+    placer.replicas(replicas(3));
+    return (number, now) -> {
+      String id = "q" + number;
+      UpstreamReplica replica =
+          placer
+              .place(
+                  new EnginePlacer.EngineRequest(
+                      id, "e", List.of(), 0, 0, 0, Optional.empty(), 0, List.of()),
+                  now)
+              .orElseThrow();
+      placer.onEnded(id, true, now);
+      return replica;
+    };
+  }
+
+  /** Returns the mean time that work takes at the chosen replicas, in percent of the usual. */
+  private static double meanPercent(Chooser chooser, Responses responses) {
+    Random random = new Random(3);
+    int requests = 10_000;
+    int[] present = new int[4];
+    double total = 0;
+    for (int number = 0; number < requests; number++) {
+      long millis = number * 24L;
+      if (millis % 600 == 0) {
+        for (int i = 1; i < present.length; i++) {
+          present[i] = random.nextDouble() < 0.15 ? 250 : 100;
+        }
+      }
+      UpstreamReplica replica = chooser.choose(number, Nanos.ofMillis(millis));
+      int percent = present[Integer.parseInt(replica.id().substring(1))];
+      total += percent;
+      responses.onResponse(number, replica, percent, Nanos.ofMillis(millis));
+    }
+    return total / requests;
+  }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -22,11 +22,11 @@
 
 /**
  * Chooses replicas of model engines for requests, and of other services while one of their replicas
- * limits its request rate. For each service, one instance, the placer, chooses for the requests of
- * all instances, so that it knows the load of each replica. If the placer is unreachable or does
- * not respond in time, this instance chooses instead, from replicas without a limit. The placer
- * also finds prompt parts that crash engines, and chooses no replica for a request with a blocked
- * part.
+ * limits its request rate, or if they state how long work takes. For each service, one instance,
+ * the placer, chooses for the requests of all instances, so that it knows the load of each replica.
+ * If the placer is unreachable or does not respond in time, this instance chooses instead, from
+ * replicas without a limit. The placer also finds prompt parts that crash engines, and chooses no
+ * replica for a request with a blocked part.
  *
  * <p>Not thread-safe: all methods run on the event loop.
  */
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -292,6 +292,13 @@
       context
           .engines()
           .find(service, engineRequest(), replica -> runStep(() -> sendOrFail(replica)));
+    } else if (context.replicas().statesWorkTime(service)) {
+      context
+          .engines()
+          .find(
+              service,
+              engineRequest(),
+              replica -> runStep(() -> sendOrFail(replica.or(this::chooseReplica))));
     } else {
       sendOrFail(chooseReplica());
     }
