Try replicas again that were slow for a time

Cause: a replica that looked slow got little work at low load, so nothing showed when it was fast again; two figures of a busy neighbour made up most of a young mean.

Conclusion: replicaThatWasSlowIsTriedAgain fails without the change.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ObservedSpeeds.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ObservedSpeeds.java
@@ -62,19 +62,21 @@
    *     matter as long as it is the same for all work of the service
    * @param observedMillis time that it took, in milliseconds
    * @param workPercent what the replica stated in the response; empty if nothing
+   * @param now current time
    */
   public void onWork(
       UpstreamReplica replica,
       double expectedMillis,
       double observedMillis,
-      OptionalInt workPercent) {
+      OptionalInt workPercent,
+      long now) {
     Validate.isTrue(expectedMillis > 0, "expectedMillis must be positive");
     ServiceWork service = service(replica.service());
     int percent = workPercent.orElse(0);
     double undisturbed = percent > 0 ? observedMillis * 100 / percent : observedMillis;
     double bounded = service.work.bounded(expectedMillis, undisturbed);
-    service.work.add(expectedMillis, bounded);
-    replica(replica).work.add(expectedMillis, bounded);
+    service.work.add(expectedMillis, bounded, now);
+    replica(replica).work.add(expectedMillis, bounded, now);
   }
 
   /**
@@ -95,21 +97,22 @@
       return 1;
     }
     ServiceWork service = service(replica.service());
-    return lastingSpeed(replica) * 100 / work.stated.forecast(service.persistence, now);
+    return lastingSpeed(replica, now) * 100 / work.stated.forecast(service.persistence, now);
   }
 
   /**
    * Returns the speed of a replica without the influence of others on its machine.
    *
    * @param replica the replica, not null
+   * @param now current time
    * @return the speed relative to the mean of its service; 1 if nothing is known
    */
-  public double lastingSpeed(UpstreamReplica replica) {
+  public double lastingSpeed(UpstreamReplica replica, long now) {
     ReplicaWork work = replicas.get(replica.incarnation());
     if (work == null || !isStated(replica.service())) {
       return 1;
     }
-    double speed = work.work.speedRelativeTo(service(replica.service()).work);
+    double speed = work.work.speedRelativeTo(service(replica.service()).work, now);
     return Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed));
   }
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -343,13 +343,15 @@
    * @param replica the replica, not null
    * @param millis response time in milliseconds
    * @param stated load that the replica states in the response, empty if it states none
+   * @param now current monotonic time, in nanoseconds
    */
-  public void onValidResponse(UpstreamReplica replica, double millis, Optional<StatedLoad> stated) {
+  public void onValidResponse(
+      UpstreamReplica replica, double millis, Optional<StatedLoad> stated, long now) {
     onValidResponse(replica, millis);
     stated
         .map(StatedLoad::workPercent)
         .filter(OptionalInt::isPresent)
-        .ifPresent(percent -> speeds.onWork(replica, 1, millis, percent));
+        .ifPresent(percent -> speeds.onWork(replica, 1, millis, percent, now));
   }
 
   /** Counts a response that reports a failure of the request at the replica. */
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/StatedWork.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/StatedWork.java
@@ -16,10 +16,13 @@
   /** Minimum weight of the newest figure in the mean. */
   private static final double MIN_MEAN_WEIGHT = 0.04;
 
+  /** Number of usual figures with which the mean starts. */
+  private static final int ASSUMED_FIGURES = 4;
+
   private double meanPercent = USUAL_PERCENT;
 
-  /** Number of figures in the mean, with the usual one as the first. */
-  private int figures = 1;
+  /** Number of figures in the mean. */
+  private int figures = ASSUMED_FIGURES;
 
   private double lastPercent = USUAL_PERCENT;
   private long statedAt;
@@ -32,7 +35,7 @@
    * @param now current time
    */
   void onStated(double percent, StatePersistence persistence, long now) {
-    if (figures > 1) {
+    if (figures > ASSUMED_FIGURES) {
       persistence.onPair(
           Nanos.toMillis(now - statedAt), lastPercent - meanPercent, percent - meanPercent);
     }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ObservedSpeedsTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/ObservedSpeedsTest.java
@@ -41,7 +41,7 @@
 
   private static void work(ObservedSpeeds speeds, UpstreamReplica replica, double millis) {
     speeds.onStated(replica, 100, 0);
-    speeds.onWork(replica, 100, millis, USUAL);
+    speeds.onWork(replica, 100, millis, USUAL, 0);
   }
 
   /**
@@ -98,12 +98,12 @@
     for (int i = 0; i < 60; i++) {
       work(speeds, replica(1, 1), 200);
       work(speeds, replica(2, 1), 100);
-      speeds.onWork(replica(3, 1), 100, 250, OptionalInt.of(250));
+      speeds.onWork(replica(3, 1), 100, 250, OptionalInt.of(250), 0);
     }
-    double slow = speeds.lastingSpeed(replica(1, 1));
-    double fast = speeds.lastingSpeed(replica(2, 1));
+    double slow = speeds.lastingSpeed(replica(1, 1), 0);
+    double fast = speeds.lastingSpeed(replica(2, 1), 0);
     assertEquals(2, fast / slow, 0.35);
-    assertEquals(fast, speeds.lastingSpeed(replica(3, 1)), 0.01);
+    assertEquals(fast, speeds.lastingSpeed(replica(3, 1), 0), 0.01);
   }
 
   @Test
@@ -113,11 +113,24 @@
       replicas(3).forEach(each -> work(speeds, each, 100));
     }
     work(speeds, replica(1, 1), 5_000);
-    assertTrue(speeds.lastingSpeed(replica(1, 1)) > 0.8);
+    assertTrue(speeds.lastingSpeed(replica(1, 1), 0) > 0.8);
     for (int i = 0; i < 10; i++) {
       work(speeds, replica(1, 1), 500);
     }
-    assertTrue(speeds.lastingSpeed(replica(1, 1)) < 0.6);
+    assertTrue(speeds.lastingSpeed(replica(1, 1), 0) < 0.6);
+  }
+
+  /** A replica that is avoided shows nothing new, so what it has shown must lose its weight. */
+  @Test
+  void replicaThatWasSlowIsTriedAgain() {
+    ObservedSpeeds speeds = ObservedSpeeds.create();
+    for (int i = 0; i < 20; i++) {
+      work(speeds, replica(1, 1), 400);
+      work(speeds, replica(2, 1), 100);
+      work(speeds, replica(3, 1), 100);
+    }
+    assertTrue(speeds.lastingSpeed(replica(1, 1), 0) < 0.6);
+    assertTrue(speeds.lastingSpeed(replica(1, 1), Nanos.ofMillis(15_000)) > 0.8);
   }
 
   @Test
@@ -135,8 +148,8 @@
   void speedsAreEqualIfNoReplicaStatesHowLongWorkTakes() {
     ObservedSpeeds speeds = ObservedSpeeds.create();
     for (int i = 0; i < 20; i++) {
-      speeds.onWork(replica(1, 1), 100, 900, OptionalInt.empty());
-      speeds.onWork(replica(2, 1), 100, 100, OptionalInt.empty());
+      speeds.onWork(replica(1, 1), 100, 900, OptionalInt.empty(), 0);
+      speeds.onWork(replica(2, 1), 100, 100, OptionalInt.empty(), 0);
     }
     assertEquals(1, speeds.relativeSpeed(replica(1, 1), 0));
     assertEquals(1, speeds.relativeSpeed(replica(2, 1), 0));
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/SlowEnginesTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/SlowEnginesTest.java
@@ -113,7 +113,7 @@
 
     private void onRead(Read read) {
       double expected = placer.workBeforeResponse(read.id()).orElseThrow().expectedMillis();
-      learned.onWork(read.replica(), expected, read.took(), OptionalInt.of(100));
+      learned.onWork(read.replica(), expected, read.took(), OptionalInt.of(100), nanos(read.end()));
       learned.onStated(read.replica(), 100, nanos(read.end()));
       placer.onResponseStarted(read.id());
       placer.onEnded(read.id(), true, nanos(read.end()));
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -253,7 +253,8 @@
                   work.replica(),
                   work.expectedMillis(),
                   observation.responseMillis(),
-                  OptionalInt.of(observation.workPercent()));
+                  OptionalInt.of(observation.workPercent()),
+                  loop.now());
               speeds.onStated(work.replica(), observation.workPercent(), loop.now());
             });
   }
@@ -263,7 +264,7 @@
     List<UpstreamReplica> replicasWithSpeed = replicasWithSpeed();
     loggedSpeeds.keySet().retainAll(replicasWithSpeed.stream().map(UpstreamReplica::id).toList());
     for (UpstreamReplica replica : replicasWithSpeed) {
-      double speed = speeds.lastingSpeed(replica);
+      double speed = speeds.lastingSpeed(replica, loop.now());
       double ratio = speed / loggedSpeeds.getOrDefault(replica.id(), 1.0);
       if (ratio >= LOGGED_SPEED_RATIO || ratio <= 1 / LOGGED_SPEED_RATIO) {
         loggedSpeeds.put(replica.id(), speed);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -275,7 +275,9 @@
           SendVerdict.FAILED, "status-" + response.status(), Optional.of(buffered));
       return;
     }
-    context.replicas().onValidResponse(replica, elapsedMillis(), statedLoad());
+    context
+        .replicas()
+        .onValidResponse(replica, elapsedMillis(), statedLoad(), context.loop().now());
     owner.onResponseStarted(response.status());
     exchange.respond(buffered.status(), buffered.fields(), ByteBuffer.wrap(buffered.body()));
     owner.onResponseForwarded(buffered.status());
