--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -33,6 +33,9 @@
   /** Assumed number of tokens that a replica reads per millisecond; it is not configured. */
   private static final double READ_TOKENS_PER_MILLI = 80;
 
+  /** Assumed time until the first event besides that for reading prompts, in milliseconds. */
+  private static final double FIRST_EVENT_MILLIS = 15;
+
   /** Cost of reading shared prompt parts again, besides the time that it takes, in milliseconds. */
   private static final double REREAD_COST_MILLIS = 40;
 
@@ -42,6 +45,9 @@
   /** Cost of each request in flight at the replica, in milliseconds. */
   private static final double IN_FLIGHT_COST_MILLIS = 2;
 
+  /** Cost of running the request itself at the usual speed, in milliseconds. */
+  private static final double OWN_COST_MILLIS = 5;
+
   /** Share of its slots up to which a replica gets requests. */
   private static final double MAX_SLOT_SHARE = 0.9;
 
@@ -62,10 +68,12 @@
 
   private final SendPermits permits;
   private final ReplicaPace pace;
+  private final ReplicaSpeeds speeds;
 
-  private EnginePlacer(SendPermits permits, ReplicaPace pace) {
+  private EnginePlacer(SendPermits permits, ReplicaPace pace, ReplicaSpeeds speeds) {
     this.permits = permits;
     this.pace = pace;
+    this.speeds = speeds;
   }
 
   /** Returns a placer without replicas that needs no permits. */
@@ -80,7 +88,7 @@
    * @return the placer
    */
   public static EnginePlacer create(SendPermits permits) {
-    return create(permits, ReplicaPace.NONE);
+    return create(permits, ReplicaPace.NONE, ReplicaSpeeds.EQUAL);
   }
 
   /**
@@ -88,11 +96,14 @@
    *
    * @param permits permits of which one is taken for each placed request, not null
    * @param pace pace of replicas that start or recover, not null
+   * @param speeds speeds of the replicas, by which expected times are divided, not null
    * @return the placer
    */
-  public static EnginePlacer create(SendPermits permits, ReplicaPace pace) {
+  public static EnginePlacer create(SendPermits permits, ReplicaPace pace, ReplicaSpeeds speeds) {
     return new EnginePlacer(
-        Objects.requireNonNull(permits, "permits"), Objects.requireNonNull(pace, "pace"));
+        Objects.requireNonNull(permits, "permits"),
+        Objects.requireNonNull(pace, "pace"),
+        Objects.requireNonNull(speeds, "speeds"));
   }
 
   /**
@@ -136,7 +147,10 @@
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
-                            engine.costMillis(request, hashedEngine.filter(engine::equals)))
+                            engine.costMillis(
+                                request,
+                                hashedEngine.filter(engine::equals),
+                                speeds.relativeSpeed(engine.replica, now)))
                     .thenComparingLong(engine -> hashRank(request, engine)));
     best.ifPresent(engine -> recordPlacement(request, engine, now));
     return best.map(engine -> engine.replica);
@@ -176,10 +190,25 @@
     engine.inFlight++;
     engine.unreadTokens += unreadTokens;
     engine.addPromptKey(request.promptKey());
-    double expectedMillis = MIN_EXPECTED_MILLIS + engine.unreadTokens / READ_TOKENS_PER_MILLI;
     placed.put(
         request.id(),
-        new PlacedRequest(request.origin(), engine, unreadTokens, expectedMillis, now));
+        new PlacedRequest(request.origin(), engine, unreadTokens, engine.unreadTokens, now));
+  }
+
+  /**
+   * Returns the work that a placed request waits for before its response starts.
+   *
+   * @param requestId identifier of the request, not null
+   * @return the work, or empty if the request is not in flight or its response has started
+   */
+  public Optional<FirstEventWork> workBeforeResponse(String requestId) {
+    return Optional.ofNullable(placed.get(requestId))
+        .filter(request -> !request.responseStarted)
+        .map(
+            request ->
+                new FirstEventWork(
+                    request.engine.replica,
+                    FIRST_EVENT_MILLIS + request.tokensToReadFirst / READ_TOKENS_PER_MILLI));
   }
 
   /**
@@ -197,7 +226,7 @@
       pace.onResponse(
           placedRequest.engine.replica,
           Nanos.toMillis(now - placedRequest.placedAt),
-          placedRequest.expectedMillis,
+          MIN_EXPECTED_MILLIS + placedRequest.tokensToReadFirst / READ_TOKENS_PER_MILLI,
           now);
     }
   }
@@ -292,12 +321,23 @@
     }
   }
 
+  /**
+   * Work until the start of a response.
+   *
+   * @param replica the replica that does it
+   * @param expectedMillis time that it takes at the usual speed, in milliseconds
+   */
+  public record FirstEventWork(UpstreamReplica replica, double expectedMillis) {}
+
   /** A request in flight at a replica. Times are in nanoseconds. */
   private static final class PlacedRequest {
     private final String origin;
     private final EngineReplica engine;
     private final long unreadTokens;
-    private final double expectedMillis;
+
+    /** Tokens of all prompts that the replica reads before the response starts. */
+    private final long tokensToReadFirst;
+
     private final long placedAt;
     private boolean responseStarted;
 
@@ -305,12 +345,12 @@
         String origin,
         EngineReplica engine,
         long unreadTokens,
-        double expectedMillis,
+        long tokensToReadFirst,
         long placedAt) {
       this.origin = origin;
       this.engine = engine;
       this.unreadTokens = unreadTokens;
-      this.expectedMillis = expectedMillis;
+      this.tokensToReadFirst = tokensToReadFirst;
       this.placedAt = placedAt;
     }
   }
@@ -333,14 +373,16 @@
       return promptKeys.containsKey(request.promptKey());
     }
 
-    private double costMillis(EngineRequest request, Optional<EngineReplica> hashedEngine) {
+    private double costMillis(
+        EngineRequest request, Optional<EngineReplica> hashedEngine, double speed) {
       boolean sharedPartsRead = hasSharedParts(request) || hashedEngine.isPresent();
-      long tokensToReadFirst = unreadTokens + tokensToRead(request);
+      double tokensToReadFirst = (unreadTokens + tokensToRead(request)) / speed;
       boolean pauses = tokensToReadFirst > MAX_TOKENS_WITHOUT_PAUSE;
       return tokensToReadFirst / READ_TOKENS_PER_MILLI
           + (sharedPartsRead || request.sharedTokens() == 0 ? 0 : REREAD_COST_MILLIS)
           + transferMillis(request)
-          + inFlight * (IN_FLIGHT_COST_MILLIS + (pauses ? STREAM_PAUSE_COST_MILLIS : 0));
+          + inFlight * (IN_FLIGHT_COST_MILLIS / speed + (pauses ? STREAM_PAUSE_COST_MILLIS : 0))
+          + OWN_COST_MILLIS * (1 / speed - 1);
     }
 
     private double transferMillis(EngineRequest request) {
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/StartReplay.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/StartReplay.java
@@ -44,7 +44,9 @@
     this.pace = pace;
     placer =
         EnginePlacer.create(
-            SendPermits.UNLIMITED, pace.<ReplicaPace>map(each -> each).orElse(ReplicaPace.NONE));
+            SendPermits.UNLIMITED,
+            pace.<ReplicaPace>map(each -> each).orElse(ReplicaPace.NONE),
+            ReplicaSpeeds.EQUAL);
   }
 
   private static UpstreamReplica replica(int number, long startedAt) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -148,6 +148,9 @@
   private volatile boolean ready;
   private volatile StateSnapshot snapshot = StateSnapshot.NONE;
 
+  /** Speeds of the replicas whose requests are placed here, in percent by identifier. */
+  private volatile Map<String, Integer> replicaSpeeds = Map.of();
+
   /** Time that a task waited last for the event loop, in milliseconds. */
   private volatile long loopLagMillis;
 
@@ -185,7 +188,8 @@
     blocks = BlockList.create(System::currentTimeMillis, log, blockPublisher);
     crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
     engines =
-        new EnginePlacement(peers, peerNetwork, replicas, rateLimits, paces.placed(), loop, blocks);
+        new EnginePlacement(
+            peers, peerNetwork, replicas, rateLimits, paces.placed(), loop, blocks, log);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -317,6 +321,11 @@
         "Time since this instance learned of the evacuation of a data centre",
         "data_centre",
         () -> snapshot.evacuatedSeconds());
+    metrics.gauges(
+        "arbutusspar_replica_speed_percent",
+        "Speed of each replica relative to its service, at the instance that places its requests",
+        "replica",
+        () -> replicaSpeeds);
     metrics.gauge(
         "arbutusspar_configuration_behind_milliseconds",
         "Time for which a live peer has had changes of the configuration that this instance lacks",
@@ -806,6 +815,8 @@
       updateStatus();
       logColdReplicas(coldReplicas.update(loop.now()), "time");
       updateSnapshot();
+      replicaSpeeds = engines.speedPercents();
+      engines.logSpeeds();
       measureLoopLag();
     }
   }
