--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -33,6 +33,9 @@
   /** Assumed number of tokens that a replica reads per millisecond; it is not configured. */
   private static final double READ_TOKENS_PER_MILLI = 80;
 
+  /** Assumed time until the first event besides that for reading prompts, in milliseconds. */
+  private static final double FIRST_EVENT_MILLIS = 15;
+
   /** Cost of reading shared prompt parts again, besides the time that it takes, in milliseconds. */
   private static final double REREAD_COST_MILLIS = 40;
 
@@ -42,12 +45,18 @@
   /** Cost of each request in flight at the replica, in milliseconds. */
   private static final double IN_FLIGHT_COST_MILLIS = 2;
 
+  /** Cost of running the request itself at the usual speed, in milliseconds. */
+  private static final double OWN_COST_MILLIS = 5;
+
   /** Share of its slots up to which a replica gets requests. */
   private static final double MAX_SLOT_SHARE = 0.9;
 
   /** Number of recent prompt keys whose parts a replica is assumed to have in its cache. */
   private static final int MAX_PROMPT_KEYS_PER_REPLICA = 256;
 
+  /** Expected time to the start of a response besides the time of reading, in milliseconds. */
+  private static final double MIN_EXPECTED_MILLIS = 100;
+
   private static final long FIRST_COOLDOWN_MILLIS = 300;
   private static final int MAX_COOLDOWN_DOUBLINGS = 4;
 
@@ -58,9 +67,13 @@
   private final Map<String, PlacedRequest> placed = new LinkedHashMap<>();
 
   private final SendPermits permits;
+  private final ReplicaPace pace;
+  private final ReplicaSpeeds speeds;
 
-  private EnginePlacer(SendPermits permits) {
+  private EnginePlacer(SendPermits permits, ReplicaPace pace, ReplicaSpeeds speeds) {
     this.permits = permits;
+    this.pace = pace;
+    this.speeds = speeds;
   }
 
   /** Returns a placer without replicas that needs no permits. */
@@ -75,7 +88,22 @@
    * @return the placer
    */
   public static EnginePlacer create(SendPermits permits) {
-    return new EnginePlacer(Objects.requireNonNull(permits, "permits"));
+    return create(permits, ReplicaPace.NONE, ReplicaSpeeds.EQUAL);
+  }
+
+  /**
+   * Returns a placer without replicas.
+   *
+   * @param permits permits of which one is taken for each placed request, not null
+   * @param pace pace of replicas that start or recover, not null
+   * @param speeds speeds of the replicas, by which expected times are divided, not null
+   * @return the placer
+   */
+  public static EnginePlacer create(SendPermits permits, ReplicaPace pace, ReplicaSpeeds speeds) {
+    return new EnginePlacer(
+        Objects.requireNonNull(permits, "permits"),
+        Objects.requireNonNull(pace, "pace"),
+        Objects.requireNonNull(speeds, "speeds"));
   }
 
   /**
@@ -108,19 +136,35 @@
             .filter(engine -> engine.isHealthy(now) || !anyHealthy)
             .toList();
     Optional<EngineReplica> hashedEngine = hashedEngine(request, candidates);
-    Optional<EngineReplica> best =
+    List<EngineReplica> withRoom =
         candidates.stream()
             .filter(engine -> engine.inFlight < MAX_SLOT_SHARE * engine.replica.slots())
+            .filter(engine -> engine.inFlight < pace.maxLimit(engine.replica, now))
             .filter(engine -> permits.isAvailable(engine.replica, now))
+            .toList();
+    Optional<EngineReplica> best =
+        preferWithinPace(withRoom, now).stream()
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
-                            engine.costMillis(request, hashedEngine.filter(engine::equals)))
+                            engine.costMillis(
+                                request,
+                                hashedEngine.filter(engine::equals),
+                                speeds.relativeSpeed(engine.replica, now)))
                     .thenComparingLong(engine -> hashRank(request, engine)));
     best.ifPresent(engine -> recordPlacement(request, engine, now));
     return best.map(engine -> engine.replica);
   }
 
+  /** Returns the replicas that are within their pace, or all if none is. */
+  private List<EngineReplica> preferWithinPace(List<EngineReplica> withRoom, long now) {
+    List<EngineReplica> withinPace =
+        withRoom.stream()
+            .filter(engine -> engine.inFlight < pace.limit(engine.replica, now))
+            .toList();
+    return withinPace.isEmpty() ? withRoom : withinPace;
+  }
+
   /**
    * Returns the replica that is preferred for prompt parts which no candidate is known to have
    * read. Rendezvous hashing selects the same replica at every placer, so a new placer sends
@@ -140,21 +184,50 @@
   }
 
   private void recordPlacement(EngineRequest request, EngineReplica engine, long now) {
-    long unreadTokens = engine.tokensToRead(request);
+    final long unreadTokens = engine.tokensToRead(request);
     permits.take(engine.replica, now);
+    pace.onChosen(engine.replica, now);
     engine.inFlight++;
     engine.unreadTokens += unreadTokens;
     engine.addPromptKey(request.promptKey());
-    placed.put(request.id(), new PlacedRequest(request.origin(), engine, unreadTokens, now));
+    placed.put(
+        request.id(),
+        new PlacedRequest(request.origin(), engine, unreadTokens, engine.unreadTokens, now));
   }
 
-  /** Records that the response to a request has started, which means that its prompt is read. */
-  public void onResponseStarted(String requestId) {
+  /**
+   * Returns the work that a placed request waits for before its response starts.
+   *
+   * @param requestId identifier of the request, not null
+   * @return the work, or empty if the request is not in flight or its response has started
+   */
+  public Optional<FirstEventWork> workBeforeResponse(String requestId) {
+    return Optional.ofNullable(placed.get(requestId))
+        .filter(request -> !request.responseStarted)
+        .map(
+            request ->
+                new FirstEventWork(
+                    request.engine.replica,
+                    FIRST_EVENT_MILLIS + request.tokensToReadFirst / READ_TOKENS_PER_MILLI));
+  }
+
+  /**
+   * Records that the response to a request has started, which means that its prompt is read.
+   *
+   * @param requestId identifier of the request, not null
+   * @param now current monotonic time, in nanoseconds
+   */
+  public void onResponseStarted(String requestId, long now) {
     PlacedRequest placedRequest = placed.get(requestId);
     if (placedRequest != null && !placedRequest.responseStarted) {
       placedRequest.responseStarted = true;
       placedRequest.engine.unreadTokens -= placedRequest.unreadTokens;
       placedRequest.engine.cooldown.succeeded();
+      pace.onResponse(
+          placedRequest.engine.replica,
+          Nanos.toMillis(now - placedRequest.placedAt),
+          MIN_EXPECTED_MILLIS + placedRequest.tokensToReadFirst / READ_TOKENS_PER_MILLI,
+          now);
     }
   }
 
@@ -176,7 +249,11 @@
       placedRequest.engine.unreadTokens -= placedRequest.unreadTokens;
     }
     if (!responded) {
-      placedRequest.engine.onNoResponse(now);
+      EngineReplica engine = placedRequest.engine;
+      engine.promptKeys.clear();
+      if (!pace.onFailure(engine.replica, placedRequest.placedAt, now)) {
+        engine.cooldown.failed(now);
+      }
     }
   }
 
@@ -244,18 +321,36 @@
     }
   }
 
+  /**
+   * Work until the start of a response.
+   *
+   * @param replica the replica that does it
+   * @param expectedMillis time that it takes at the usual speed, in milliseconds
+   */
+  public record FirstEventWork(UpstreamReplica replica, double expectedMillis) {}
+
   /** A request in flight at a replica. Times are in nanoseconds. */
   private static final class PlacedRequest {
     private final String origin;
     private final EngineReplica engine;
     private final long unreadTokens;
+
+    /** Tokens of all prompts that the replica reads before the response starts. */
+    private final long tokensToReadFirst;
+
     private final long placedAt;
     private boolean responseStarted;
 
-    private PlacedRequest(String origin, EngineReplica engine, long unreadTokens, long placedAt) {
+    private PlacedRequest(
+        String origin,
+        EngineReplica engine,
+        long unreadTokens,
+        long tokensToReadFirst,
+        long placedAt) {
       this.origin = origin;
       this.engine = engine;
       this.unreadTokens = unreadTokens;
+      this.tokensToReadFirst = tokensToReadFirst;
       this.placedAt = placedAt;
     }
   }
@@ -278,14 +373,16 @@
       return promptKeys.containsKey(request.promptKey());
     }
 
-    private double costMillis(EngineRequest request, Optional<EngineReplica> hashedEngine) {
+    private double costMillis(
+        EngineRequest request, Optional<EngineReplica> hashedEngine, double speed) {
       boolean sharedPartsRead = hasSharedParts(request) || hashedEngine.isPresent();
-      long tokensToReadFirst = unreadTokens + tokensToRead(request);
+      double tokensToReadFirst = (unreadTokens + tokensToRead(request)) / speed;
       boolean pauses = tokensToReadFirst > MAX_TOKENS_WITHOUT_PAUSE;
       return tokensToReadFirst / READ_TOKENS_PER_MILLI
           + (sharedPartsRead || request.sharedTokens() == 0 ? 0 : REREAD_COST_MILLIS)
           + transferMillis(request)
-          + inFlight * (IN_FLIGHT_COST_MILLIS + (pauses ? STREAM_PAUSE_COST_MILLIS : 0));
+          + inFlight * (IN_FLIGHT_COST_MILLIS / speed + (pauses ? STREAM_PAUSE_COST_MILLIS : 0))
+          + OWN_COST_MILLIS * (1 / speed - 1);
     }
 
     private double transferMillis(EngineRequest request) {
@@ -305,10 +402,5 @@
     private boolean isHealthy(long now) {
       return !cooldown.isCoolingDown(now);
     }
-
-    private void onNoResponse(long now) {
-      cooldown.failed(now);
-      promptKeys.clear();
-    }
   }
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlainServiceReplay.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/PlainServiceReplay.java
@@ -168,7 +168,7 @@
       }
       queuePerSlot = decision.maxQueuePerSlot();
     }
-    PlacementRequest request = new PlacementRequest("s", 0, Set.of(), random.nextLong());
+    PlacementRequest request = new PlacementRequest("s", 0, Set.of(), true, random.nextLong());
     registries
         .get(attempt.instance())
         .choose(request, LeastLoadPlacement.create(), queuePerSlot, now())
@@ -219,7 +219,7 @@
     }
     respond(attempt, replica);
     double millis = nowMillis - sentAt;
-    registries.get(attempt.instance()).onValidResponse(replica.listed, millis);
+    registries.get(attempt.instance()).onValidResponse(replica.listed, millis, now());
     limits.get(attempt.instance()).onValidResponse(millis, replica.load());
     if (isBurst(attempt.firstAt())) {
       Outcome outcome = outcomes.get(attempt.kind());
@@ -232,7 +232,7 @@
   private void respond(Attempt attempt, Replica replica) {
     ReplicaRegistry registry = registries.get(attempt.instance());
     registry.onEnded(replica.listed);
-    registry.onReport(replica.listed, replica.load().runningAndWaiting(), now());
+    registry.onReport(replica.listed, replica.load(), now());
     limits.get(attempt.instance()).onReport(replica.load(), now());
   }
 
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.placement.ExecutionRecord;
 import org.arbutusspar.core.placement.SendVerdict;
+import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.routing.RouteKind;
@@ -138,6 +139,11 @@
         || sendPhase.get() == SendPhase.REVOKED;
   }
 
+  /** Returns the load that the replica states in its response, empty if there is none yet. */
+  Optional<StatedLoad> statedLoad() {
+    return response == null ? Optional.empty() : response.load();
+  }
+
   /**
    * Abandons the attempt. Its owner is not notified of its end.
    *
@@ -187,13 +193,15 @@
     OptionalLong sentAt = header.valid() ? OptionalLong.of(startedAt) : OptionalLong.empty();
     context.announcements().apply(replica, header.signals(), sentAt);
     header
-        .runningAndWaiting()
-        .ifPresent(inFlight -> context.replicas().onReport(replica, inFlight, receivedAt));
-    context
-        .contention()
+        .load()
         .ifPresent(
-            contention ->
-                header.load().ifPresent(load -> contention.onReport(replica, load, receivedAt)));
+            load -> {
+              context.paces().onLoad(replica, load);
+              context.replicas().onReport(replica, load, receivedAt);
+              context
+                  .contention()
+                  .ifPresent(contention -> contention.onReport(replica, load, receivedAt));
+            });
   }
 
   @Override
@@ -298,14 +306,12 @@
 
   private void reportValidResponse() {
     double millis = elapsedMillis();
-    context.replicas().onValidResponse(replica, millis);
+    context.replicas().onValidResponse(replica, millis, statedLoad(), context.loop().now());
     context
         .contention()
         .ifPresent(
             contention ->
-                response
-                    .load()
-                    .ifPresent(load -> contention.onValidResponse(replica, millis, load)));
+                statedLoad().ifPresent(load -> contention.onValidResponse(replica, millis, load)));
   }
 
   private void onForwardedToEnd() {
@@ -314,7 +320,7 @@
       return;
     }
     logEndOfStream("between-events");
-    reportValidResponse();
+    context.replicas().onValidResponse(replica, elapsedMillis(), context.loop().now());
     owner.onResponseReceived();
     int status = response.status();
     if (!exchange.endResponse(() -> post(() -> owner.onResponseForwarded(status)))) {
