--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/RequestCause.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/RequestCause.java
@@ -79,6 +79,17 @@
               admission.get().field("wait_ms"),
               admission.get().field("left_ms"));
     }
+    Optional<LogLine> service = trace.lastEvent("service-admission");
+    if (service.isPresent()) {
+      return ("Rejected at admission, not run: an expected wait of %s ms at service %s, where %s ms"
+              + " were permitted and %s ms left until the deadline%s.")
+          .formatted(
+              service.get().field("wait_ms"),
+              service.get().field("service"),
+              service.get().field("max_wait_ms"),
+              service.get().field("left_ms"),
+              service.get().field("came_back").equals("true") ? " (client retry)" : "");
+    }
     Optional<LogLine> limited = trace.lastEvent("rate-limited");
     if (reason.equals("rate-limit") && limited.isPresent()) {
       return ("Rejected after %s ms, not run: all replicas of service %s limit their request rate,"
--- a/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/ExplainTest.java
+++ b/arbutusspar-ctl/src/test/java/org/arbutusspar/ctl/ExplainTest.java
@@ -59,6 +59,14 @@
     assertTrue(explain("q-limit").contains("limit their request rate, to 3.5 a second in total"));
   }
 
+  @Test
+  void requestRejectedByTheLimitOfItsService() throws IOException {
+    assertTrue(
+        explain("q-plain")
+            .contains(
+                "an expected wait of 140 ms at service filings, where 125 ms were permitted"));
+  }
+
   @Test
   void requestRejectedBeforeAdmission() throws IOException {
     assertTrue(explain("q-key").contains("Rejected with 401"));
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ClassTraining.java
@@ -119,7 +119,7 @@
         endpoints.get(4),
         100,
         256_000_000,
-        false,
+        true,
         new PlatformSettings.Bounds(8_000, 0.2, 10_000, 50, 5_000, 1, 0));
   }
 }
