Requests that must not be repeated prefer sound replicas also if most have failed

Cause: isDoubtful followed the bound, which does not hold while more than half of the capacity is to be tested; then a payment could test a replica although the sound one had room.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/LearnedReplicaPace.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/LearnedReplicaPace.java
@@ -174,10 +174,15 @@
 
   @Override
   public int maxLimit(UpstreamReplica replica, long now) {
+    return isDoubtful(replica, now) && !isMostlyDoubtful(replica.service(), now)
+        ? testLimit(find(replica, now), now)
+        : UNLIMITED;
+  }
+
+  @Override
+  public boolean isDoubtful(UpstreamReplica replica, long now) {
     PacedReplica found = find(replica, now);
-    boolean isTested =
-        found != null && found.isDoubtful(now) && !isMostlyDoubtful(replica.service(), now);
-    return isTested ? testLimit(found, now) : UNLIMITED;
+    return found != null && found.isDoubtful(now);
   }
 
   /** Returns whether more than half of the capacity of a service is to be tested. */
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaPace.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaPace.java
@@ -22,6 +22,11 @@
           return UNLIMITED;
         }
 
+        @Override
+        public boolean isDoubtful(UpstreamReplica replica, long now) {
+          return false;
+        }
+
         @Override
         public void onChosen(UpstreamReplica replica, long now) {}
 
@@ -63,9 +68,7 @@
    * @param now current time
    * @return true if it is still to be tested
    */
-  default boolean isDoubtful(UpstreamReplica replica, long now) {
-    return maxLimit(replica, now) != UNLIMITED;
-  }
+  boolean isDoubtful(UpstreamReplica replica, long now);
 
   /**
    * Records that a replica has been chosen for a request.
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
@@ -222,6 +222,8 @@
     assertEquals(0, pace.maxLimit(replica(1), SECOND));
     pace.onFailure(replica(2), 0, SECOND);
     assertEquals(ReplicaPace.UNLIMITED, pace.maxLimit(replica(1), SECOND));
+    assertEquals(0, pace.limit(replica(1), SECOND));
+    assertTrue(pace.isDoubtful(replica(1), SECOND));
   }
 
   @Test
