--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -130,7 +130,7 @@
   }
 
   /** Returns the listed replicas in some data centres, leaving or not. */
-  public List<UpstreamReplica> in(Set<DataCentre> dataCentres) {
+  public List<UpstreamReplica> listedIn(Set<DataCentre> dataCentres) {
     return lastListed.stream()
         .filter(replica -> dataCentres.contains(replica.dataCentre()))
         .toList();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -400,7 +400,8 @@
         .forEach(name -> logEvacuation("evacuation", name, offsets.get(name), records.offset()));
     change.ended().forEach(name -> logEvacuation("evacuation-ended", name, -1, records.offset()));
     // Replicas there may have become cold shortly before, and say so only later.
-    logColdReplicas(coldReplicas.assumeCold(replicas.in(change.ended()), loop.now()), "evacuation");
+    logColdReplicas(
+        coldReplicas.assumeCold(replicas.listedIn(change.ended()), loop.now()), "evacuation");
     onAvailableReplicasChanged();
   }
 
@@ -416,7 +417,7 @@
         "source",
         tables.source(TableName.CONFIGURATION),
         "replicas",
-        replicas.in(Set.of(dataCentre)).size());
+        replicas.listedIn(Set.of(dataCentre)).size());
   }
 
   private void logColdReplicas(ColdReplicas.Change change, String source) {
