Look up no limit of a replica while none is known

Cause: the permits of each engine are asked for at each placement, and cold replicas made that a second look-up by name. Change: none while no limit is stated and no replica is cold. Conclusion: the tests of limits and placement pass.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRateLimits.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRateLimits.java
@@ -170,6 +170,9 @@
    * @return the limit in requests a second, or empty if there is none
    */
   public OptionalDouble perSecond(UpstreamReplica replica) {
+    if (isAllUnlimited()) {
+      return OptionalDouble.empty();
+    }
     Limit limit = limits.get(replica.incarnation());
     OptionalDouble stated = limit == null ? OptionalDouble.empty() : limit.perSecond;
     OptionalDouble whileCold = coldPerSecond(replica);
@@ -193,7 +196,11 @@
 
   /** Returns whether any of some replicas has a limit that is in force. */
   public boolean isAnyLimited(Collection<UpstreamReplica> replicas) {
-    return !(limits.isEmpty() && cold.count() == 0) && replicas.stream().anyMatch(this::isLimited);
+    return !isAllUnlimited() && replicas.stream().anyMatch(this::isLimited);
+  }
+
+  private boolean isAllUnlimited() {
+    return limits.isEmpty() && cold.count() == 0;
   }
 
   /**
