No permits from an instance that does not know the others yet

An instance that has just started and knows of no other took itself for the holder of all roles with the whole rate, beside the real one; and with three instances a fresh one gives a third of the rate beside it.

Change: the share of an instance is 0 until it has read the list of instances, which names also those that are down. The burst is a sixth of what the rate leaves of the bound, before a quarter.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ColdBound.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ColdBound.java
@@ -23,7 +23,7 @@
   private static final double PARTS_FACTOR = 4.0 / 3;
 
   /** Number of times that the burst fits into what the rate leaves of the bound. */
-  private static final double BURSTS = 4;
+  private static final double BURSTS = 6;
 
   /** Checks the components. */
   public ColdBound {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -574,9 +574,13 @@
 
   /**
    * Returns the share of all known instances for whose requests this one chooses replicas of a
-   * service, 0 if another instance holds that role.
+   * service, 0 if another instance holds that role, or if this one has just started and does not
+   * know the others yet.
    */
   private double decisionShare(String service, long now) {
+    if (tables.table(TableName.INSTANCES).offset() < 0) {
+      return 0;
+    }
     boolean hasPieces = state != null && state.pieceLimits(service).isPresent();
     String role = hasPieces ? service : EnginePlacement.role(service);
     if (!peers.roleHolder(role, now).equals(peers.self().name())) {
