--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.core.id.DataCentre;
@@ -22,7 +23,7 @@
  * common placer does, and spreads them over the replicas. Requests that share prompt parts go to a
  * replica that has read these parts, unless reading them again elsewhere costs less than waiting.
  */
-public final class EnginePlacer {
+public final class EnginePlacer implements EngineChooser {
 
   /** Number of unread tokens up to which a replica reads prompts without pausing its streams. */
   private static final long MAX_TOKENS_WITHOUT_PAUSE = 20_000;
@@ -42,9 +43,6 @@
   /** Cost of each request in flight at the replica, in milliseconds. */
   private static final double IN_FLIGHT_COST_MILLIS = 2;
 
-  /** Share of its slots up to which a replica gets requests. */
-  private static final double MAX_SLOT_SHARE = 0.9;
-
   /** Number of recent prompt keys whose parts a replica is assumed to have in its cache. */
   private static final int MAX_PROMPT_KEYS_PER_REPLICA = 256;
 
@@ -54,13 +52,20 @@
   /** Time after which a request without a report of its end counts as ended, in milliseconds. */
   private static final long REQUEST_EXPIRY_MILLIS = 60_000;
 
+  /** Time for which the load that a replica stated corrects the load counted here. */
+  private static final long STATED_LOAD_NANOS = Nanos.ofMillis(2_000);
+
   private final Map<String, EngineReplica> engines = new LinkedHashMap<>();
   private final Map<String, PlacedRequest> placed = new LinkedHashMap<>();
 
   private final SendPermits permits;
+  private final ReplicaSpeeds speeds;
+  private final EngineRoom room;
 
-  private EnginePlacer(SendPermits permits) {
+  private EnginePlacer(SendPermits permits, ReplicaSpeeds speeds, EngineRoom room) {
     this.permits = permits;
+    this.speeds = speeds;
+    this.room = room;
   }
 
   /** Returns a placer without replicas that needs no permits. */
@@ -75,14 +80,25 @@
    * @return the placer
    */
   public static EnginePlacer create(SendPermits permits) {
-    return new EnginePlacer(Objects.requireNonNull(permits, "permits"));
+    return create(permits, ReplicaSpeeds.EQUAL, EngineRoom.SLOTS);
   }
 
   /**
-   * Replaces the replicas that may be chosen.
+   * Returns a placer without replicas.
    *
-   * @param available replicas that are listed and not leaving, not null
+   * @param permits permits of which one is taken for each placed request, not null
+   * @param speeds speeds of the replicas, by which the time to read prompts is divided, not null
+   * @param room decides which replicas have room for a request, not null
+   * @return the placer
    */
+  public static EnginePlacer create(SendPermits permits, ReplicaSpeeds speeds, EngineRoom room) {
+    return new EnginePlacer(
+        Objects.requireNonNull(permits, "permits"),
+        Objects.requireNonNull(speeds, "speeds"),
+        Objects.requireNonNull(room, "room"));
+  }
+
+  @Override
   public void replicas(Collection<UpstreamReplica> available) {
     Map<String, UpstreamReplica> listed = new HashMap<>();
     available.forEach(replica -> listed.put(replica.id(), replica));
@@ -110,17 +126,97 @@
     Optional<EngineReplica> hashedEngine = hashedEngine(request, candidates);
     Optional<EngineReplica> best =
         candidates.stream()
-            .filter(engine -> engine.inFlight < MAX_SLOT_SHARE * engine.replica.slots())
+            .filter(engine -> hasRoom(engine, request, now))
             .filter(engine -> permits.isAvailable(engine.replica, now))
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
-                            engine.costMillis(request, hashedEngine.filter(engine::equals)))
+                            engine.costMillis(
+                                request, hashedEngine.filter(engine::equals), speed(engine, now)))
                     .thenComparingLong(engine -> hashRank(request, engine)));
     best.ifPresent(engine -> recordPlacement(request, engine, now));
     return best.map(engine -> engine.replica);
   }
 
+  @Override
+  public EngineDecision ask(EngineRequest request, long now) {
+    return place(request, now)
+        .map(EngineDecision::placed)
+        .orElseGet(() -> EngineDecision.rejected(0));
+  }
+
+  private boolean hasRoom(EngineReplica engine, EngineRequest request, long now) {
+    double readMillis = engine.tokensToRead(request) / READ_TOKENS_PER_MILLI / speed(engine, now);
+    return room.admits(load(engine, now), request.memoryTokens(), readMillis);
+  }
+
+  private EngineLoad load(EngineReplica engine, long now) {
+    int unknown = engine.unknownRequests(now);
+    long meanTokens = engine.inFlight == 0 ? 0 : engine.heldTokens / engine.inFlight;
+    return new EngineLoad(
+        engine.replica.slots(),
+        engine.inFlight + unknown,
+        engine.heldTokens + unknown * meanTokens,
+        engine.unreadTokens / READ_TOKENS_PER_MILLI / speed(engine, now));
+  }
+
+  private double speed(EngineReplica engine, long now) {
+    return speeds.relativeSpeed(engine.replica, now);
+  }
+
+  /**
+   * Returns the time that a replica of usual speed needs to read the whole prompt of a request.
+   *
+   * @param request the request, not null
+   * @return the time in milliseconds
+   */
+  static double readMillis(EngineRequest request) {
+    return (request.sharedTokens() + request.ownTokens()) / READ_TOKENS_PER_MILLI;
+  }
+
+  /** Returns whether a replica has a free slot and a permit, so that some request may fit. */
+  boolean hasFreeReplica(long now) {
+    return engines.values().stream()
+        .anyMatch(
+            engine ->
+                EngineRoom.SLOTS.admits(load(engine, now), 0, 0)
+                    && permits.isAvailable(engine.replica, now));
+  }
+
+  /**
+   * Returns the replica whose memory will soonest have room for a request that finds none.
+   *
+   * @param excluded identifiers of replicas that are not considered, not null
+   * @param now current monotonic time, in nanoseconds
+   * @return the identifier of the replica that holds the fewest tokens; empty if there is none
+   */
+  Optional<String> leastFilled(Collection<String> excluded, long now) {
+    return engines.values().stream()
+        .filter(engine -> !excluded.contains(engine.replica.id()))
+        .min(Comparator.comparingLong(engine -> load(engine, now).heldTokens()))
+        .map(engine -> engine.replica.id());
+  }
+
+  /** Returns the replica of a request that is in flight, empty if the request is not. */
+  Optional<UpstreamReplica> replicaOf(String requestId) {
+    return Optional.ofNullable(placed.get(requestId)).map(request -> request.engine.replica);
+  }
+
+  /** Returns the time of the placement of a request that is in flight, in nanoseconds. */
+  OptionalLong placedAt(String requestId) {
+    PlacedRequest request = placed.get(requestId);
+    return request == null ? OptionalLong.empty() : OptionalLong.of(request.placedAt);
+  }
+
+  /** Returns whether a request would fit into a replica that may be chosen if it were idle. */
+  boolean fitsIdleReplica(EngineRequest request) {
+    return engines.values().stream()
+        .map(engine -> engine.replica)
+        .filter(replica -> !request.excluded().contains(replica.id()))
+        .map(replica -> new EngineLoad(replica.slots(), 0, 0, 0))
+        .anyMatch(idle -> room.admits(idle, request.memoryTokens(), 0));
+  }
+
   /**
    * Returns the replica that is preferred for prompt parts which no candidate is known to have
    * read. Rendezvous hashing selects the same replica at every placer, so a new placer sends
@@ -144,11 +240,12 @@
     permits.take(engine.replica, now);
     engine.inFlight++;
     engine.unreadTokens += unreadTokens;
+    engine.heldTokens += request.memoryTokens();
     engine.addPromptKey(request.promptKey());
-    placed.put(request.id(), new PlacedRequest(request.origin(), engine, unreadTokens, now));
+    placed.put(request.id(), new PlacedRequest(request, engine, unreadTokens, now));
   }
 
-  /** Records that the response to a request has started, which means that its prompt is read. */
+  @Override
   public void onResponseStarted(String requestId) {
     PlacedRequest placedRequest = placed.get(requestId);
     if (placedRequest != null && !placedRequest.responseStarted) {
@@ -158,6 +255,18 @@
     }
   }
 
+  /**
+   * Records the load that a replica has stated. Requests there that were placed by others, as by a
+   * former placer, fill its slots too.
+   */
+  @Override
+  public void onStatedLoad(String requestId, int requests, long now) {
+    PlacedRequest placedRequest = placed.get(requestId);
+    if (placedRequest != null) {
+      placedRequest.engine.onStatedLoad(requests, now);
+    }
+  }
+
   /**
    * Records that a request has ended. A request that is not in flight is ignored.
    *
@@ -166,12 +275,14 @@
    *     its cache is assumed to be empty
    * @param now current monotonic time, in nanoseconds
    */
+  @Override
   public void onEnded(String requestId, boolean responded, long now) {
     PlacedRequest placedRequest = placed.remove(requestId);
     if (placedRequest == null) {
       return;
     }
     placedRequest.engine.inFlight--;
+    placedRequest.engine.heldTokens -= placedRequest.heldTokens;
     if (!placedRequest.responseStarted) {
       placedRequest.engine.unreadTokens -= placedRequest.unreadTokens;
     }
@@ -186,6 +297,7 @@
    * @param origin name of the instance, not null
    * @param now current monotonic time, in nanoseconds
    */
+  @Override
   public void removeOrigin(String origin, long now) {
     placed.entrySet().stream()
         .filter(entry -> entry.getValue().origin.equals(origin))
@@ -222,6 +334,7 @@
    *     if it reads any
    * @param inputBytes size of those results in bytes
    * @param excluded identifiers of replicas that must not be chosen
+   * @param demand what the request needs, and by when; empty if callers do not compete
    */
   public record EngineRequest(
       String id,
@@ -232,7 +345,8 @@
       long ownTokens,
       Optional<DataCentre> preferredDataCentre,
       long inputBytes,
-      Collection<String> excluded) {
+      Collection<String> excluded,
+      Optional<EngineDemand> demand) {
 
     /** Checks the components. */
     public EngineRequest {
@@ -241,6 +355,51 @@
       sharedParts = List.copyOf(sharedParts);
       Objects.requireNonNull(preferredDataCentre, "preferredDataCentre");
       Objects.requireNonNull(excluded, "excluded");
+      Objects.requireNonNull(demand, "demand");
+    }
+
+    /** Creates a request without a demand; see the components of this record. */
+    public EngineRequest(
+        String id,
+        String origin,
+        List<String> sharedParts,
+        long promptKey,
+        long sharedTokens,
+        long ownTokens,
+        Optional<DataCentre> preferredDataCentre,
+        long inputBytes,
+        Collection<String> excluded) {
+      this(
+          id,
+          origin,
+          sharedParts,
+          promptKey,
+          sharedTokens,
+          ownTokens,
+          preferredDataCentre,
+          inputBytes,
+          excluded,
+          Optional.empty());
+    }
+
+    /** Returns the number of tokens that the request needs in the memory of a replica. */
+    public long memoryTokens() {
+      return sharedTokens + ownTokens + demand.map(EngineDemand::outputTokens).orElse(0L);
+    }
+
+    /** Returns this request with other replicas that must not be chosen. */
+    EngineRequest withExcluded(Collection<String> newExcluded) {
+      return new EngineRequest(
+          id,
+          origin,
+          sharedParts,
+          promptKey,
+          sharedTokens,
+          ownTokens,
+          preferredDataCentre,
+          inputBytes,
+          newExcluded,
+          demand);
     }
   }
 
@@ -249,11 +408,14 @@
     private final String origin;
     private final EngineReplica engine;
     private final long unreadTokens;
+    private final long heldTokens;
     private final long placedAt;
     private boolean responseStarted;
 
-    private PlacedRequest(String origin, EngineReplica engine, long unreadTokens, long placedAt) {
-      this.origin = origin;
+    private PlacedRequest(
+        EngineRequest request, EngineReplica engine, long unreadTokens, long placedAt) {
+      this.origin = request.origin();
+      this.heldTokens = request.memoryTokens();
       this.engine = engine;
       this.unreadTokens = unreadTokens;
       this.placedAt = placedAt;
@@ -266,6 +428,12 @@
     private UpstreamReplica replica;
     private int inFlight;
     private long unreadTokens;
+    private long heldTokens;
+
+    /** Requests that the replica stated beyond those that were in flight then. */
+    private int statedUnknown;
+
+    private long statedAt;
     private final FailureCooldown cooldown =
         FailureCooldown.create(FIRST_COOLDOWN_MILLIS, MAX_COOLDOWN_DOUBLINGS);
 
@@ -278,11 +446,21 @@
       return promptKeys.containsKey(request.promptKey());
     }
 
-    private double costMillis(EngineRequest request, Optional<EngineReplica> hashedEngine) {
+    private void onStatedLoad(int requests, long now) {
+      statedUnknown = Math.max(0, requests - inFlight);
+      statedAt = now;
+    }
+
+    private int unknownRequests(long now) {
+      return now - statedAt < STATED_LOAD_NANOS ? statedUnknown : 0;
+    }
+
+    private double costMillis(
+        EngineRequest request, Optional<EngineReplica> hashedEngine, double speed) {
       boolean sharedPartsRead = hasSharedParts(request) || hashedEngine.isPresent();
       long tokensToReadFirst = unreadTokens + tokensToRead(request);
       boolean pauses = tokensToReadFirst > MAX_TOKENS_WITHOUT_PAUSE;
-      return tokensToReadFirst / READ_TOKENS_PER_MILLI
+      return tokensToReadFirst / READ_TOKENS_PER_MILLI / speed
           + (sharedPartsRead || request.sharedTokens() == 0 ? 0 : REREAD_COST_MILLIS)
           + transferMillis(request)
           + inFlight * (IN_FLIGHT_COST_MILLIS + (pauses ? STREAM_PAUSE_COST_MILLIS : 0));
--- /dev/null
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WaitForecast.java
@@ -0,0 +1,96 @@
+package org.arbutusspar.core.placement;
+
+import java.util.PriorityQueue;
+import org.arbutusspar.core.Nanos;
+
+/**
+ * Forecasts how long requests wait for room at replicas of one service, from how long requests stay
+ * there and from how many were placed lately. It also dates the return of clients whose requests
+ * are rejected, so that they do not come back before there is room for them. Times are monotonic,
+ * in nanoseconds.
+ */
+final class WaitForecast {
+
+  /** Assumed time that a request stays at a replica before any has ended, in milliseconds. */
+  private static final double INITIAL_STAY_MILLIS = 1_000;
+
+  /** Weight of the last request in the mean time that requests stay. */
+  private static final double STAY_WEIGHT = 0.05;
+
+  /** Period over which placed requests are counted. */
+  private static final long PERIOD_NANOS = Nanos.ofMillis(1_000);
+
+  /** Least assumed rate of room that comes free, in requests a second. */
+  private static final double MIN_PER_SECOND = 0.5;
+
+  private static final int MAX_DATES = 4_096;
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private double stayMillis = INITIAL_STAY_MILLIS;
+  private long periodStart;
+  private int placedInPeriod;
+  private int placedInPreviousPeriod;
+
+  /** Dates at which rejected clients were told to return, the earliest first. */
+  private final PriorityQueue<Long> returnDates = new PriorityQueue<>();
+
+  private WaitForecast() {}
+
+  /** Returns a forecast that has seen no requests. */
+  static WaitForecast create() {
+    return new WaitForecast();
+  }
+
+  /** Records how long a request that has ended stayed at its replica, in nanoseconds. */
+  void onEnded(long nanos) {
+    stayMillis += STAY_WEIGHT * (Nanos.toMillis(nanos) - stayMillis);
+  }
+
+  /** Records that a request was placed. */
+  void onPlaced(long now) {
+    rollPeriod(now);
+    placedInPeriod++;
+  }
+
+  private void rollPeriod(long now) {
+    if (now - periodStart >= PERIOD_NANOS) {
+      placedInPreviousPeriod = now - periodStart < 2 * PERIOD_NANOS ? placedInPeriod : 0;
+      placedInPeriod = 0;
+      periodStart = now;
+    }
+  }
+
+  /**
+   * Returns the expected wait of a request.
+   *
+   * @param position number of requests that are placed until it is, itself included
+   * @param inFlight number of requests in flight at all replicas
+   * @param now current time
+   * @return the wait in milliseconds
+   */
+  long waitMillis(int position, int inFlight, long now) {
+    rollPeriod(now);
+    double endsPerSecond = inFlight / stayMillis * MILLIS_PER_SECOND;
+    double perSecond = Math.max(MIN_PER_SECOND, Math.max(endsPerSecond, placedInPreviousPeriod));
+    return (long) (position / perSecond * MILLIS_PER_SECOND);
+  }
+
+  /**
+   * Dates the return of a client whose request is rejected, after those that were dated before.
+   *
+   * @param position number of requests that wait, plus one
+   * @param inFlight number of requests in flight at all replicas
+   * @param now current time
+   * @return the time after which to return, in milliseconds, over 0
+   */
+  long returnMillis(int position, int inFlight, long now) {
+    while (!returnDates.isEmpty() && returnDates.peek() - now <= 0) {
+      returnDates.poll();
+    }
+    long millis = Math.max(1, waitMillis(position + returnDates.size(), inFlight, now));
+    if (returnDates.size() < MAX_DATES) {
+      returnDates.add(now + Nanos.ofMillis(millis));
+    }
+    return millis;
+  }
+}
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -1,18 +1,25 @@
 package org.arbutusspar.entry.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.arbutusspar.core.peer.ActiveRoles;
 import org.arbutusspar.core.peer.PeerTable;
 import org.arbutusspar.core.placement.CrashingPartDetector;
+import org.arbutusspar.core.placement.EngineChooser;
+import org.arbutusspar.core.placement.EngineDecision;
+import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.RequestIdentity;
-import org.arbutusspar.core.placement.SendPermits;
+import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.link.PeerMessage;
 
 /**
@@ -23,6 +30,11 @@
  * also finds prompt parts that crash engines, and chooses no replica for a request with a blocked
  * part.
  *
+ * <p>Where callers compete for capacity, requests that find no room wait at the placer. This
+ * instance keeps its request meanwhile, with its deadline, and asks again at a regular interval. If
+ * the placer does not respond, its connection is lost or the role moves, this instance gives up its
+ * place in that queue and asks the new placer, or chooses itself.
+ *
  * <p>Not thread-safe: all methods run on the event loop.
  */
 final class EnginePlacement {
@@ -30,36 +42,56 @@
   /** Maximum wait for the response of a remote placer, in milliseconds. */
   private static final long RESPONSE_TIMEOUT_MILLIS = 60;
 
+  /** Interval at which an instance asks again for a request that waits, in milliseconds. */
+  private static final long ASK_AGAIN_MILLIS = 200;
+
+  /**
+   * Interval at which a placer looks for room that came free without a message, such as a permit,
+   * while requests wait, in milliseconds.
+   */
+  private static final long SETTLE_INTERVAL_MILLIS = 20;
+
   /** Prefix of a placer's role name; the name of the service follows. */
   private static final String ROLE_PREFIX = "place/";
 
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
-  private final SendPermits permits;
   private final EventLoop loop;
   private final BlockList blocks;
+  private final EventLog log;
+  private final boolean contended;
+  private final Function<String, EngineChooser> newChooser;
   private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
-  private final Map<String, EnginePlacer> placers = new HashMap<>();
+  private final Map<String, EngineChooser> choosers = new HashMap<>();
   private final ActiveRoles activeRoles = ActiveRoles.create();
   private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
 
   /** Name of the instance that placed or is to place a request, by the request's identifier. */
   private final Map<String, String> placerOfRequest = new HashMap<>();
 
+  /** Receivers of the decisions on requests of this instance that wait here, by identifier. */
+  private final Map<String, Consumer<EngineDecision>> waitingHere = new HashMap<>();
+
+  private boolean settleScheduled;
+
   EnginePlacement(
       PeerTable peers,
       PeerNetwork peerNetwork,
       ReplicaRegistry replicas,
-      SendPermits permits,
       EventLoop loop,
-      BlockList blocks) {
+      BlockList blocks,
+      EventLog log,
+      boolean contended,
+      Function<String, EngineChooser> newChooser) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
-    this.permits = permits;
     this.loop = loop;
     this.blocks = blocks;
+    this.log = log;
+    this.contended = contended;
+    this.newChooser = newChooser;
   }
 
   /** Returns the name of the role of the placer of a service. */
@@ -74,7 +106,28 @@
 
   /** Passes the changed list of replicas to the placers. */
   void onReplicas() {
-    placers.forEach((service, placer) -> placer.replicas(replicas.notLeaving(service)));
+    choosers.forEach((service, chooser) -> chooser.replicas(replicas.notLeaving(service)));
+    List.copyOf(choosers.keySet()).forEach(this::settle);
+  }
+
+  /** Returns whether requests that find no room wait, because callers compete for capacity. */
+  boolean isContended() {
+    return contended;
+  }
+
+  /** Returns the number of requests that wait here, by service. */
+  Map<String, Integer> waiting() {
+    Map<String, Integer> waiting = new HashMap<>();
+    choosers.forEach((service, chooser) -> waiting.put(service, chooser.waiting()));
+    return waiting;
+  }
+
+  /** Returns the expected wait of a further request here in milliseconds, by service. */
+  Map<String, Integer> expectedWaitMillis() {
+    Map<String, Integer> waits = new HashMap<>();
+    choosers.forEach(
+        (service, chooser) -> waits.put(service, (int) chooser.expectedWaitMillis(loop.now())));
+    return waits;
   }
 
   /**
@@ -82,14 +135,11 @@
    *
    * @param service name of the engine's service, not null
    * @param request properties of the request, not null
-   * @param found called with the replica, or with empty if every permitted replica is at capacity
-   *     or a prompt part is blocked; called before this method returns if the request is placed
-   *     here at once
+   * @param found called with the replica, or with a rejection if no replica has room or a prompt
+   *     part is blocked; called before this method returns if this is decided here at once; not
+   *     called if the request ends before
    */
-  void find(
-      String service,
-      EnginePlacer.EngineRequest request,
-      Consumer<Optional<UpstreamReplica>> found) {
+  void find(String service, EnginePlacer.EngineRequest request, Consumer<EngineDecision> found) {
     String placerName = peers.roleHolder(role(service), loop.now());
     boolean sent =
         !placerName.equals(peers.self().name())
@@ -97,7 +147,7 @@
     if (!sent) {
       activeRoles.markUsed(role(service), loop.now());
       placerOfRequest.put(request.id(), peers.self().name());
-      found.accept(place(service, request));
+      decideHere(service, request, found);
       return;
     }
     placerOfRequest.put(request.id(), placerName);
@@ -118,8 +168,68 @@
           new PeerMessage.PlacementUpdate(
               pending.service, pending.request.id(), PeerMessage.RunState.ENDED, ""));
       placerOfRequest.put(pending.request.id(), peers.self().name());
-      pending.found.accept(place(pending.service, pending.request));
+      decideHere(pending.service, pending.request, pending.found);
+    }
+  }
+
+  /** Decides on a request of this instance here, now or when it has waited. */
+  private void decideHere(
+      String service, EnginePlacer.EngineRequest request, Consumer<EngineDecision> found) {
+    EngineDecision decision = ask(service, request);
+    if (decision.state() == EngineDecision.State.WAITING) {
+      if (waitingHere.put(request.id(), found) == null) {
+        logWait(service, request, peers.self().name(), decision.millis());
+      }
+      loop.after(ASK_AGAIN_MILLIS, () -> askAgainHere(service, request, found));
+    } else {
+      waitingHere.remove(request.id());
+      found.accept(decision);
     }
+    settle(service);
+  }
+
+  private void askAgainHere(
+      String service, EnginePlacer.EngineRequest request, Consumer<EngineDecision> found) {
+    if (waitingHere.get(request.id()) != found) {
+      return;
+    }
+    if (peers.roleHolder(role(service), loop.now()).equals(peers.self().name())) {
+      decideHere(service, request, found);
+    } else {
+      waitingHere.remove(request.id());
+      chooser(service).onEnded(request.id(), true, loop.now());
+      find(service, request, found);
+    }
+  }
+
+  /**
+   * Asks again for a request that waits at the placer. If another instance holds the role by now,
+   * the request leaves the queue and is decided anew.
+   */
+  private void askAgain(PendingRequest pending) {
+    if (pendingRequests.get(pending.request.id()) != pending) {
+      return;
+    }
+    String holder = peers.roleHolder(role(pending.service), loop.now());
+    boolean asked =
+        holder.equals(pending.placerName)
+            && peerNetwork.send(
+                holder, new PeerMessage.PlaceRequest(pending.service, pending.request));
+    if (asked) {
+      pending.timer = loop.after(RESPONSE_TIMEOUT_MILLIS, () -> placeLocally(pending));
+    } else {
+      decideAnew(pending);
+    }
+  }
+
+  private void decideAnew(PendingRequest pending) {
+    pending.timer.cancel();
+    pendingRequests.remove(pending.request.id());
+    peerNetwork.send(
+        pending.placerName,
+        new PeerMessage.PlacementUpdate(
+            pending.service, pending.request.id(), PeerMessage.RunState.ENDED, ""));
+    find(pending.service, pending.request, pending.found);
   }
 
   /** Returns the name of the instance that chose the replica of a request, "-" if none did. */
@@ -127,27 +237,90 @@
     return placerOfRequest.getOrDefault(requestId, "-");
   }
 
-  private Optional<UpstreamReplica> place(String service, EnginePlacer.EngineRequest request) {
+  private EngineDecision ask(String service, EnginePlacer.EngineRequest request) {
     if (blocks.findBlocked(request.sharedParts()).isPresent()) {
-      return Optional.empty();
+      return EngineDecision.rejected(0);
+    }
+    EngineDecision decision = chooser(service).ask(request, loop.now());
+    decision.replica().ifPresent(replica -> onPlaced(service, request, replica));
+    return decision;
+  }
+
+  private void onPlaced(
+      String service, EnginePlacer.EngineRequest request, UpstreamReplica replica) {
+    detector(service).onPlaced(request.id(), request.sharedParts(), replica, loop.now());
+  }
+
+  /** Passes on the decisions on requests that no longer wait here, and looks again later. */
+  private void settle(String service) {
+    EngineChooser chooser = chooser(service);
+    for (EngineChooser.Settled settled : chooser.settle(loop.now())) {
+      settled.decision().replica().ifPresent(r -> onPlaced(service, settled.request(), r));
+      logSettled(service, settled);
+      tell(settled.request(), settled.decision());
     }
-    Optional<UpstreamReplica> replica = placer(service).place(request, loop.now());
-    replica.ifPresent(
-        r -> detector(service).onPlaced(request.id(), request.sharedParts(), r, loop.now()));
-    return replica;
+    if (chooser.waiting() > 0 && !settleScheduled) {
+      settleScheduled = true;
+      loop.after(SETTLE_INTERVAL_MILLIS, this::settleAll);
+    }
+  }
+
+  private void settleAll() {
+    settleScheduled = false;
+    List.copyOf(choosers.keySet()).forEach(this::settle);
+  }
+
+  /** Tells the instance that asked for a request how it is decided. */
+  private void tell(EnginePlacer.EngineRequest request, EngineDecision decision) {
+    if (!request.origin().equals(peers.self().name())) {
+      peerNetwork.send(request.origin(), response(request.id(), decision));
+      return;
+    }
+    Consumer<EngineDecision> found = waitingHere.remove(request.id());
+    if (found != null) {
+      found.accept(decision);
+    }
+  }
+
+  private static PeerMessage.PlaceResponse response(String requestId, EngineDecision decision) {
+    return new PeerMessage.PlaceResponse(
+        requestId,
+        decision.replica().map(UpstreamReplica::id).orElse(""),
+        decision.state() == EngineDecision.State.WAITING,
+        decision.millis());
+  }
+
+  private void logSettled(String service, EngineChooser.Settled settled) {
+    boolean placed = settled.decision().replica().isPresent();
+    log.write(
+        placed ? "placed-after-wait" : "wait-ended",
+        "id",
+        settled.request().id(),
+        "service",
+        service,
+        "reason",
+        settled.reason(),
+        "rank",
+        rank(settled.request()),
+        "origin",
+        settled.request().origin(),
+        "forecast_ms",
+        settled.forecastMillis(),
+        "waited_ms",
+        settled.waitedMillis());
   }
 
   private CrashingPartDetector detector(String service) {
     return detectors.computeIfAbsent(service, name -> CrashingPartDetector.create());
   }
 
-  private EnginePlacer placer(String service) {
-    return placers.computeIfAbsent(
+  private EngineChooser chooser(String service) {
+    return choosers.computeIfAbsent(
         service,
         name -> {
-          EnginePlacer placer = EnginePlacer.create(permits);
-          placer.replicas(replicas.notLeaving(name));
-          return placer;
+          EngineChooser chooser = newChooser.apply(name);
+          chooser.replicas(replicas.notLeaving(name));
+          return chooser;
         });
   }
 
@@ -159,7 +332,25 @@
    * @param state the new state, not null
    */
   void report(String service, String requestId, PeerMessage.RunState state) {
-    sendUpdate(new PeerMessage.PlacementUpdate(service, requestId, state, ""));
+    report(service, requestId, state, Optional.empty());
+  }
+
+  /**
+   * Reports a state change of a placed request to its placer, with the load of the replica where
+   * callers compete for it.
+   *
+   * @param service name of the engine's service, not null
+   * @param requestId identifier of the request, not null
+   * @param state the new state, not null
+   * @param load load that the replica has stated, not null
+   */
+  void report(
+      String service, String requestId, PeerMessage.RunState state, Optional<StatedLoad> load) {
+    OptionalInt requests =
+        contended && load.isPresent()
+            ? OptionalInt.of(load.get().runningAndWaiting())
+            : OptionalInt.empty();
+    sendUpdate(new PeerMessage.PlacementUpdate(service, requestId, state, "", requests));
   }
 
   /**
@@ -182,6 +373,9 @@
     if (placerName == null) {
       return;
     }
+    if (hasEnded) {
+      stopWaiting(requestId);
+    }
     if (placerName.equals(peers.self().name())) {
       onStateChange(update);
     } else {
@@ -189,18 +383,33 @@
     }
   }
 
+  /** Forgets a request of this instance that waits, here or at another placer. */
+  private void stopWaiting(String requestId) {
+    waitingHere.remove(requestId);
+    PendingRequest pending = pendingRequests.get(requestId);
+    if (pending != null && pending.waiting) {
+      pending.timer.cancel();
+      pendingRequests.remove(requestId);
+    }
+  }
+
   /** Applies a state change to the placer of this instance. */
   private void onStateChange(PeerMessage.PlacementUpdate update) {
     String service = update.service();
     String requestId = update.requestId();
     PeerMessage.RunState state = update.state();
+    EngineChooser chooser = chooser(service);
+    update
+        .statedRequests()
+        .ifPresent(requests -> chooser.onStatedLoad(requestId, requests, loop.now()));
     if (state == PeerMessage.RunState.BEGUN) {
-      placer(service).onResponseStarted(requestId);
+      chooser.onResponseStarted(requestId);
     } else {
       boolean failed =
           state == PeerMessage.RunState.BROKEN || state == PeerMessage.RunState.CRASHED;
-      placer(service).onEnded(requestId, !failed, loop.now());
+      chooser.onEnded(requestId, !failed, loop.now());
     }
+    settle(service);
     CrashingPartDetector detector = detector(service);
     CrashingPartDetector.Findings findings = findings(detector, update);
     findings.crashing().forEach(part -> blocks.block(part, detector.crashedReplicas(part)));
@@ -227,27 +436,69 @@
   void onMessage(String name, PeerMessage message) {
     if (message instanceof PeerMessage.PlaceRequest place) {
       activeRoles.markUsed(role(place.service()), loop.now());
-      Optional<UpstreamReplica> replica = place(place.service(), place.request());
-      String replicaId = replica.map(UpstreamReplica::id).orElse("");
-      peerNetwork.send(name, new PeerMessage.PlaceResponse(place.request().id(), replicaId));
+      peerNetwork.send(name, response(place.request().id(), ask(place.service(), place.request())));
+      settle(place.service());
     } else if (message instanceof PeerMessage.PlaceResponse response) {
-      PendingRequest pending = pendingRequests.remove(response.requestId());
-      if (pending != null) {
-        pending.timer.cancel();
-        pending.found.accept(replicas.find(response.replicaId()));
-      }
+      onResponse(name, response);
     } else if (message instanceof PeerMessage.PlacementUpdate update) {
       onStateChange(update);
     }
   }
 
+  private void onResponse(String name, PeerMessage.PlaceResponse response) {
+    PendingRequest pending = pendingRequests.get(response.requestId());
+    if (pending == null || !pending.placerName.equals(name)) {
+      return;
+    }
+    pending.timer.cancel();
+    if (response.waiting()) {
+      if (!pending.waiting) {
+        logWait(pending.service, pending.request, name, response.millis());
+      }
+      pending.waiting = true;
+      pending.timer = loop.after(ASK_AGAIN_MILLIS, () -> askAgain(pending));
+      return;
+    }
+    pendingRequests.remove(response.requestId());
+    pending.found.accept(
+        replicas
+            .find(response.replicaId())
+            .map(EngineDecision::placed)
+            .orElseGet(() -> EngineDecision.rejected(response.millis())));
+  }
+
+  private void logWait(
+      String service, EnginePlacer.EngineRequest request, String placerName, long waitMillis) {
+    log.write(
+        "waits-for-engine",
+        "id",
+        request.id(),
+        "service",
+        service,
+        "rank",
+        rank(request),
+        "placer",
+        placerName,
+        "forecast_ms",
+        waitMillis);
+  }
+
+  private static int rank(EnginePlacer.EngineRequest request) {
+    return request.demand().map(EngineDemand::rank).orElse(0);
+  }
+
   /**
-   * Handles the loss of the connection to a peer: its requests no longer count as in flight.
+   * Handles the loss of the connection to a peer: its requests no longer count as in flight, and
+   * requests that wait there are decided anew.
    *
    * @param name name of the peer, not null
    */
   void onDown(String name) {
-    placers.values().forEach(placer -> placer.removeOrigin(name, loop.now()));
+    choosers.values().forEach(chooser -> chooser.removeOrigin(name, loop.now()));
+    List.copyOf(choosers.keySet()).forEach(this::settle);
+    List.copyOf(pendingRequests.values()).stream()
+        .filter(pending -> pending.waiting && pending.placerName.equals(name))
+        .forEach(this::decideAnew);
   }
 
   /** A request for which the response of a remote placer is outstanding. */
@@ -255,14 +506,17 @@
     private final String service;
     private final EnginePlacer.EngineRequest request;
     private final String placerName;
-    private final Consumer<Optional<UpstreamReplica>> found;
+    private final Consumer<EngineDecision> found;
     private EventLoop.Timer timer;
 
+    /** Whether the placer has responded that the request waits. */
+    private boolean waiting;
+
     private PendingRequest(
         String service,
         EnginePlacer.EngineRequest request,
         String placerName,
-        Consumer<Optional<UpstreamReplica>> found) {
+        Consumer<EngineDecision> found) {
       this.service = service;
       this.request = request;
       this.placerName = placerName;
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -21,9 +21,16 @@
 import org.arbutusspar.core.peer.SharedTable;
 import org.arbutusspar.core.peer.StorePosition;
 import org.arbutusspar.core.peer.TableName;
+import org.arbutusspar.core.placement.EngineChooser;
+import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.EngineQueue;
+import org.arbutusspar.core.placement.EngineRoom;
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
+import org.arbutusspar.core.placement.ReplicaSpeeds;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.EngineLimits;
+import org.arbutusspar.core.routing.ServedService;
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.core.routing.ShutdownAdmission;
 import org.arbutusspar.core.stage.QueueWait;
@@ -170,7 +177,16 @@
     blockPublisher = BlockPublisher.create(peerNetwork, store, loop, log);
     blocks = BlockList.create(System::currentTimeMillis, log, blockPublisher);
     crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
-    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, blocks);
+    engines =
+        new EnginePlacement(
+            peers,
+            peerNetwork,
+            replicas,
+            loop,
+            blocks,
+            log,
+            settings.contended(),
+            this::newEngineChooser);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -275,6 +291,16 @@
         "Requests that may be sent to a service once more now",
         "service",
         () -> snapshot.retriesLeft());
+    metrics.gauges(
+        "arbutusspar_engine_queue_length",
+        "Requests that wait here for room at an engine, of all instances",
+        "service",
+        () -> snapshot.engineQueueLengths());
+    metrics.gauges(
+        "arbutusspar_engine_wait_milliseconds",
+        "Expected wait for room at an engine of a further request",
+        "service",
+        () -> snapshot.engineWaitMillis());
     metrics.gauge(
         "arbutusspar_blocked_prompt_parts",
         "Prompt parts that crashed model engines, whose requests are rejected",
@@ -490,6 +516,22 @@
     return (double) peers.liveCount(now) / (peers.all().size() + 1);
   }
 
+  /** Returns a chooser for a service, with a queue for model engines that callers compete for. */
+  private EngineChooser newEngineChooser(String service) {
+    if (!settings.contended() || engineLimits(service).isEmpty()) {
+      return EnginePlacer.create(rateLimits);
+    }
+    EngineRoom room =
+        EngineRoom.ofMemory(() -> engineLimits(service).map(EngineLimits::memoryTokens).orElse(0L));
+    return EngineQueue.create(EnginePlacer.create(rateLimits, ReplicaSpeeds.EQUAL, room));
+  }
+
+  private Optional<EngineLimits> engineLimits(String service) {
+    return Optional.ofNullable(state)
+        .map(current -> current.services().get(service))
+        .flatMap(ServedService::engine);
+  }
+
   /** Copies the state of the loop for gauges, which are read by other threads. */
   private void updateSnapshot() {
     Map<String, Integer> waits = new HashMap<>();
@@ -502,6 +544,8 @@
             peers.liveCount(loop.now()),
             pieces.waitingPieces(),
             context.retriesLeft(),
+            engines.waiting(),
+            engines.expectedWaitMillis(),
             blocks.blockedParts(),
             blocks.blockedRequests(),
             rateLimits.inForce().size(),
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -15,6 +15,8 @@
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.core.placement.BlockDecision;
+import org.arbutusspar.core.placement.EngineDecision;
+import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.ExecutionRecord;
 import org.arbutusspar.core.placement.PlacementRequest;
@@ -289,7 +291,7 @@
     if (isModelEngine() || context.rateLimits().isAnyLimited(notLeaving())) {
       context
           .engines()
-          .find(service, engineRequest(), replica -> runStep(() -> sendOrFail(replica)));
+          .find(service, engineRequest(), decision -> runStep(() -> onDecision(decision)));
     } else {
       sendOrFail(chooseReplica());
     }
@@ -305,7 +307,42 @@
         request.ownTokens(),
         context.dataCentreOf(stageResults),
         stageResults.stream().mapToLong(StageResult::bytes).sum(),
-        excludedReplicas());
+        excludedReplicas(),
+        context.engines().isContended() ? Optional.of(engineDemand()) : Optional.empty());
+  }
+
+  private EngineDemand engineDemand() {
+    boolean returned =
+        request.clientTimeoutMillis().isPresent()
+            && context.isClientRetry(route.name(), request.clientTimeoutMillis().getAsLong());
+    long targetAt = arrivedAt + Nanos.ofMillis(route.targetMillis());
+    long lateBy = Nanos.ofMillis(route.timeoutMillis() - route.targetMillis());
+    return new EngineDemand(
+        route.name(),
+        keyOwner.map(KeyOwner::workspace).orElse(""),
+        priority(),
+        request.outputTokens(),
+        returned ? Math.min(targetAt, deadline - lateBy) : targetAt,
+        deadline - Nanos.ofMillis(RESPONSE_MARGIN_MILLIS + MIN_SEND_MILLIS),
+        returned,
+        execution.mayHaveRun());
+  }
+
+  private void onDecision(EngineDecision decision) {
+    if (!ended && decision.millis() > 0) {
+      failUntilRoom(decision.millis() / MILLIS_PER_SECOND);
+    } else {
+      sendOrFail(decision.replica());
+    }
+  }
+
+  /** Ends a request for which there is no room; its client may return when room is expected. */
+  private void failUntilRoom(double seconds) {
+    double maxSeconds = remainingMillis() / MILLIS_PER_SECOND * MAX_RETRY_AFTER_SHARE;
+    respondAndEnd(
+        execution.mayHaveRun() ? BAD_GATEWAY : SERVICE_UNAVAILABLE,
+        "no-room",
+        formatSeconds(seconds <= maxSeconds ? seconds : retryAfterSeconds()));
   }
 
   /** Returns the replicas that this instance must not send the request to. */
@@ -409,7 +446,9 @@
     context
         .log()
         .write("answer-begun", "id", request.id(), "status", status, "ms", elapsedMillis());
-    context.engines().report(service, request.id(), PeerMessage.RunState.BEGUN);
+    context
+        .engines()
+        .report(service, request.id(), PeerMessage.RunState.BEGUN, attempt.statedLoad());
     stageRun.ifPresent(StageRun::releaseResults);
   }
 
@@ -440,7 +479,7 @@
     if (verdict == SendVerdict.UNKNOWN) {
       context.engines().reportCrash(service, request.id(), identity.subject());
     } else {
-      context.engines().report(service, request.id(), runStateAfter(verdict));
+      context.engines().report(service, request.id(), runStateAfter(verdict), attempt.statedLoad());
     }
     reportToGuard(verdict);
     boolean retry =
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
@@ -15,6 +15,8 @@
  * @param waitingPieces number of pieces queued at this instance, of the requests of all instances
  * @param retriesLeft number of retries that the retry budget permits now, by name of each service
  *     that has received requests
+ * @param engineQueueLengths number of requests that wait here for an engine, by service
+ * @param engineWaitMillis expected wait of a further request in milliseconds, by service
  * @param blockedPromptParts number of prompt parts whose requests are rejected
  * @param blockedRequests number of requests whose repeats are rejected
  * @param limitedReplicas number of replicas that limit their request rate
@@ -28,6 +30,8 @@
     int liveInstances,
     int waitingPieces,
     Map<String, Integer> retriesLeft,
+    Map<String, Integer> engineQueueLengths,
+    Map<String, Integer> engineWaitMillis,
     int blockedPromptParts,
     int blockedRequests,
     int limitedReplicas,
@@ -35,12 +39,14 @@
 
   /** State of an instance that has read nothing from the store and knows no peer. */
   static final StateSnapshot NONE =
-      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), 0, 0, 0, 0);
+      new StateSnapshot(-1, Map.of(), Map.of(), 1, 0, Map.of(), Map.of(), Map.of(), 0, 0, 0, 0);
 
   /** Copies the maps. */
   StateSnapshot {
     replicasByState = Map.copyOf(replicasByState);
     queueWaitMillis = Map.copyOf(queueWaitMillis);
     retriesLeft = Map.copyOf(retriesLeft);
+    engineQueueLengths = Map.copyOf(engineQueueLengths);
+    engineWaitMillis = Map.copyOf(engineWaitMillis);
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.arbutusspar.core.Nanos;
 import org.arbutusspar.core.placement.ExecutionRecord;
 import org.arbutusspar.core.placement.SendVerdict;
+import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
 import org.arbutusspar.core.routing.RouteKind;
 import org.arbutusspar.io.http.BodyFraming;
@@ -125,6 +126,12 @@
     cancellation = context.client().send(call, this);
   }
 
+  /** Returns the load that the replica stated in its response, empty if it stated none yet. */
+  Optional<StatedLoad> statedLoad() {
+    UpstreamResponse header = response;
+    return header != null && header.valid() ? header.load() : Optional.empty();
+  }
+
   @Override
   public boolean revoke() {
     return sendPhase.compareAndSet(SendPhase.WAITING, SendPhase.REVOKED)
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
@@ -19,6 +20,7 @@
 import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.placement.BlockDecision;
 import org.arbutusspar.core.placement.CrashReport;
+import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
@@ -38,8 +40,8 @@
  * order.
  *
  * <p>The clocks of instances are not synchronized. The encoder therefore writes times of pieces,
- * limits and crashes as offsets from its own current time, and the decoder adds them to its own
- * current time.
+ * engine requests, limits and crashes as offsets from its own current time, and the decoder adds
+ * them to its own current time.
  */
 public final class PeerCodec {
 
@@ -116,16 +118,22 @@
         packStrings(packer, release.handles());
       } else if (message instanceof PeerMessage.PlaceRequest place) {
         packer.packInt(PLACE_REQUEST).packString(place.service());
-        packEngineRequest(packer, place.request());
+        packEngineRequest(packer, place.request(), now);
       } else if (message instanceof PeerMessage.PlaceResponse response) {
         packer
             .packInt(PLACE_RESPONSE)
             .packString(response.requestId())
             .packString(response.replicaId());
+        if (response.waiting() || response.millis() > 0) {
+          packer.packBoolean(response.waiting()).packLong(response.millis());
+        }
       } else if (message instanceof PeerMessage.PlacementUpdate update) {
         packer.packInt(PLACEMENT_UPDATE).packString(update.service());
         packer.packString(update.requestId()).packInt(update.state().ordinal());
         packer.packString(update.subject());
+        if (update.statedRequests().isPresent()) {
+          packer.packInt(update.statedRequests().getAsInt());
+        }
       } else if (message instanceof PeerMessage.Block block) {
         packer.packInt(BLOCK).packString(block.decision().subject());
         packer.packLong(block.decision().decidedMillis());
@@ -178,15 +186,15 @@
         case CANCEL -> new PeerMessage.Cancel(unpacker.unpackString());
         case RELEASE -> new PeerMessage.Release(list(unpacker, MessageUnpacker::unpackString));
         case PLACE_REQUEST ->
-            new PeerMessage.PlaceRequest(unpacker.unpackString(), engineRequest(unpacker));
-        case PLACE_RESPONSE ->
-            new PeerMessage.PlaceResponse(unpacker.unpackString(), unpacker.unpackString());
+            new PeerMessage.PlaceRequest(unpacker.unpackString(), engineRequest(unpacker, now));
+        case PLACE_RESPONSE -> placeResponse(unpacker);
         case PLACEMENT_UPDATE ->
             new PeerMessage.PlacementUpdate(
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 enumConstant(PeerMessage.RunState.values(), unpacker),
-                unpacker.hasNext() ? unpacker.unpackString() : "");
+                unpacker.hasNext() ? unpacker.unpackString() : "",
+                unpacker.hasNext() ? OptionalInt.of(unpacker.unpackInt()) : OptionalInt.empty());
         case BLOCK ->
             new PeerMessage.Block(
                 new BlockDecision(
@@ -440,17 +448,50 @@
     return values[ordinal];
   }
 
+  private static PeerMessage.PlaceResponse placeResponse(MessageUnpacker unpacker)
+      throws IOException {
+    String requestId = unpacker.unpackString();
+    String replicaId = unpacker.unpackString();
+    return unpacker.hasNext()
+        ? new PeerMessage.PlaceResponse(
+            requestId, replicaId, unpacker.unpackBoolean(), unpacker.unpackLong())
+        : new PeerMessage.PlaceResponse(requestId, replicaId);
+  }
+
   private static void packEngineRequest(
-      MessageBufferPacker packer, EnginePlacer.EngineRequest request) throws IOException {
+      MessageBufferPacker packer, EnginePlacer.EngineRequest request, long now) throws IOException {
     packer.packString(request.id()).packString(request.origin()).packLong(request.promptKey());
     packer.packLong(request.sharedTokens()).packLong(request.ownTokens());
     packer.packString(request.preferredDataCentre().map(DataCentre::value).orElse(""));
     packer.packLong(request.inputBytes());
     packStrings(packer, List.copyOf(request.excluded()));
     packStrings(packer, request.sharedParts());
+    if (request.demand().isPresent()) {
+      packDemand(packer, request.demand().get(), now);
+    }
+  }
+
+  private static void packDemand(MessageBufferPacker packer, EngineDemand demand, long now)
+      throws IOException {
+    packer.packString(demand.kind()).packString(demand.workspace()).packInt(demand.rank());
+    packer.packLong(demand.outputTokens()).packLong(demand.targetAt() - now);
+    packer.packLong(demand.deadline() - now);
+    packer.packBoolean(demand.returned()).packBoolean(demand.mayHaveRun());
+  }
+
+  private static EngineDemand demand(MessageUnpacker unpacker, long now) throws IOException {
+    return new EngineDemand(
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        unpacker.unpackInt(),
+        unpacker.unpackLong(),
+        now + unpacker.unpackLong(),
+        now + unpacker.unpackLong(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean());
   }
 
-  private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker)
+  private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker, long now)
       throws IOException {
     String id = unpacker.unpackString();
     String origin = unpacker.unpackString();
@@ -463,6 +504,8 @@
     // Instances of the version before do not send the parts.
     List<String> sharedParts =
         unpacker.hasNext() ? list(unpacker, MessageUnpacker::unpackString) : List.of();
+    Optional<EngineDemand> demand =
+        unpacker.hasNext() ? Optional.of(demand(unpacker, now)) : Optional.empty();
     return new EnginePlacer.EngineRequest(
         id,
         origin,
@@ -472,7 +515,8 @@
         ownTokens,
         preferred,
         inputBytes,
-        excluded);
+        excluded,
+        demand);
   }
 
   private static TableCopy.Row row(MessageUnpacker unpacker) throws IOException {
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.io.link;
 
 import java.util.List;
+import java.util.OptionalInt;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerState;
 import org.arbutusspar.core.peer.PeerStatus;
@@ -87,7 +88,8 @@
   record TableData(TableName table, TableCopy copy) implements PeerMessage {}
 
   /**
-   * Requests the placement of a request: the choice of a model engine replica for it.
+   * Requests the placement of a request: the choice of a model engine replica for it. Sent again
+   * while the request waits. On the wire, times are relative to the time of sending.
    *
    * @param service name of the engine's service
    * @param request the request to be placed
@@ -99,8 +101,19 @@
    *
    * @param requestId identifier of the request
    * @param replicaId identifier of the chosen replica; empty if no replica has capacity
+   * @param waiting whether the request waits at the sender, which responds again when it no longer
+   *     does
+   * @param millis expected wait, or if the request is rejected the time after which its client
+   *     should return, in milliseconds; 0 if unknown
    */
-  record PlaceResponse(String requestId, String replicaId) implements PeerMessage {}
+  record PlaceResponse(String requestId, String replicaId, boolean waiting, long millis)
+      implements PeerMessage {
+
+    /** Creates a response to a request that does not wait, without a time. */
+    public PlaceResponse(String requestId, String replicaId) {
+      this(requestId, replicaId, false, 0);
+    }
+  }
 
   /**
    * Reports a state change of a placed request to the placer.
@@ -109,9 +122,18 @@
    * @param requestId identifier of the request
    * @param state the new state
    * @param subject subject of the request if its connection broke, otherwise the empty string
+   * @param statedRequests number of requests at its replica, as that stated; empty if it is not
+   *     known or not needed
    */
-  record PlacementUpdate(String service, String requestId, RunState state, String subject)
-      implements PeerMessage {}
+  record PlacementUpdate(
+      String service, String requestId, RunState state, String subject, OptionalInt statedRequests)
+      implements PeerMessage {
+
+    /** Creates an update without a stated number of requests. */
+    public PlacementUpdate(String service, String requestId, RunState state, String subject) {
+      this(service, requestId, state, subject, OptionalInt.empty());
+    }
+  }
 
   /**
    * Passes on a decision to block or permit requests. Also the form in which the decision is
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -26,6 +27,7 @@
 import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.placement.BlockDecision;
 import org.arbutusspar.core.placement.CrashReport;
+import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
 import org.arbutusspar.core.stage.Piece;
@@ -92,6 +94,25 @@
             "s",
             new EnginePlacer.EngineRequest(
                 "id", "e-1", List.of("p"), 3, 4, 5, Optional.empty(), 6, List.of("r"))));
+    assertRoundTrip(
+        new PeerMessage.PlaceRequest(
+            "s",
+            new EnginePlacer.EngineRequest(
+                "id",
+                "e-1",
+                List.of("p"),
+                3,
+                4,
+                5,
+                Optional.empty(),
+                6,
+                List.of("r"),
+                Optional.of(new EngineDemand("k", "w", 2, 7, 300, 900, true, false)))));
+    assertRoundTrip(new PeerMessage.PlaceResponse("id", "i-1"));
+    assertRoundTrip(new PeerMessage.PlaceResponse("id", "", true, 30));
+    assertRoundTrip(
+        new PeerMessage.PlacementUpdate(
+            "s", "id", PeerMessage.RunState.BEGUN, "", OptionalInt.of(7)));
     assertRoundTrip(new PeerMessage.Hello(PEER, List.of(PEER)));
     assertRoundTrip(
         new PeerMessage.Heartbeat(
