--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
@@ -240,7 +240,7 @@
   private void onPlaced(Waiting entry, UpstreamReplica replica, long now) {
     entry.groups.all().forEach(group -> shares.onServed(group, now));
     forecast.onPlaced(now);
-    settle(entry, EngineDecision.placed(replica), Reason.ROOM, now);
+    finish(entry, EngineDecision.placed(replica), Reason.ROOM, now);
   }
 
   /**
@@ -255,18 +255,18 @@
       if (entry.demand().mayHaveRun()) {
         position++;
       } else if (now + waitNanos + entry.readNanos - entry.demand().deadline() > 0) {
-        settle(entry, EngineDecision.rejected(0), Reason.NO_TIME, now);
+        finish(entry, EngineDecision.rejected(0), Reason.NO_TIME, now);
       } else if (anyInTime && !entry.inTime && !entry.isKept()) {
-        settle(entry, EngineDecision.rejected(returnMillis(now)), Reason.GAVE_WAY, now);
+        finish(entry, EngineDecision.rejected(returnMillis(now)), Reason.GAVE_WAY, now);
       } else if (position > MAX_WAITING) {
-        settle(entry, EngineDecision.rejected(returnMillis(now)), Reason.QUEUE_FULL, now);
+        finish(entry, EngineDecision.rejected(returnMillis(now)), Reason.QUEUE_FULL, now);
       } else {
         position++;
       }
     }
   }
 
-  private void settle(Waiting entry, EngineDecision decision, Reason reason, long now) {
+  private void finish(Waiting entry, EngineDecision decision, Reason reason, long now) {
     waiting.remove(entry.request.id());
     settled.add(
         new Settled(
