--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WaitForecast.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WaitForecast.java
@@ -14,8 +14,8 @@
   /** Assumed time that a request stays at a replica before any has ended, in milliseconds. */
   private static final double INITIAL_STAY_MILLIS = 1_000;
 
-  /** Weight of the last request in the mean time that requests stay. */
-  private static final double STAY_WEIGHT = 0.05;
+  /** Least weight of the last request in the mean time that requests stay. */
+  private static final double MIN_STAY_WEIGHT = 0.05;
 
   /** Period over which placed requests are counted. */
   private static final long PERIOD_NANOS = Nanos.ofMillis(1_000);
@@ -26,6 +26,7 @@
   private static final int MAX_DATES = 4_096;
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  private long ended;
   private double stayMillis = INITIAL_STAY_MILLIS;
   private long periodStart;
   private int placedInPeriod;
@@ -43,7 +44,9 @@
 
   /** Records how long a request that has ended stayed at its replica, in nanoseconds. */
   void onEnded(long nanos) {
-    stayMillis += STAY_WEIGHT * (Nanos.toMillis(nanos) - stayMillis);
+    ended++;
+    double weight = Math.max(MIN_STAY_WEIGHT, 1.0 / ended);
+    stayMillis += weight * (Nanos.toMillis(nanos) - stayMillis);
   }
 
   /** Records that a request was placed. */
@@ -70,7 +73,7 @@
    */
   long waitMillis(int position, int inFlight, long now) {
     rollPeriod(now);
-    double endsPerSecond = inFlight / stayMillis * MILLIS_PER_SECOND;
+    double endsPerSecond = inFlight / Math.max(1, stayMillis) * MILLIS_PER_SECOND;
     double perSecond = Math.max(MIN_PER_SECOND, Math.max(endsPerSecond, placedInPreviousPeriod));
     return (long) (position / perSecond * MILLIS_PER_SECOND);
   }
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/FakePeer.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/FakePeer.java
@@ -42,6 +42,7 @@
   private final AtomicInteger requests = new AtomicInteger();
   private final List<PeerMessage> placements = new CopyOnWriteArrayList<>();
   private volatile Set<String> roles = Set.of();
+  private volatile boolean answersWithWait;
   private volatile TableVersion configuration = TableVersion.NONE;
 
   private FakePeer(String name, Endpoint links) {
@@ -73,6 +74,26 @@
     roles = held;
   }
 
+  /** Sets whether it responds to requests for a placement that they wait, or not at all. */
+  void answerWithWait(boolean waits) {
+    answersWithWait = waits;
+  }
+
+  /** Sends a message to all connected instances. */
+  void sendToAll(PeerMessage message) {
+    connections.forEach(connection -> send(connection, message));
+  }
+
+  /** Closes the connections of all instances, which may connect again. */
+  void dropLinks() {
+    connections.forEach(connection -> connection.close("cut off"));
+  }
+
+  /** Returns whether an instance is connected. */
+  boolean isConnected() {
+    return !connections.isEmpty();
+  }
+
   /** Returns the requests to place a request and the updates on placements, in order. */
   List<PeerMessage> placements() {
     return placements;
@@ -93,7 +114,7 @@
     connection.send(PeerCodec.encode(message, System.nanoTime()));
   }
 
-  private void record(byte[] body) {
+  private void record(FrameConnection connection, byte[] body) {
     try {
       PeerMessage message = PeerCodec.decode(body, System.nanoTime());
       if (message instanceof PeerMessage.TableRequest request
@@ -103,6 +124,9 @@
           || message instanceof PeerMessage.PlacementUpdate) {
         placements.add(message);
       }
+      if (answersWithWait && message instanceof PeerMessage.PlaceRequest request) {
+        send(connection, new PeerMessage.PlaceResponse(request.request().id(), "", true, 500));
+      }
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
@@ -123,7 +147,7 @@
 
     @Override
     public void onFrame(FrameConnection connection, byte[] body) {
-      record(body);
+      record(connection, body);
     }
 
     @Override
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -56,6 +56,9 @@
   ReplicaStandin worker;
   RawClient client;
 
+  /** Whether callers compete for capacity in the deployment of instances started from now on. */
+  boolean contended;
+
   /** A running instance with its settings, which hold its endpoints. */
   record Instance(Gateway gateway, PlatformSettings settings) {}
 
@@ -118,7 +121,7 @@
             storeEndpoint,
             100,
             256_000_000,
-            false,
+            contended,
             new PlatformSettings.Bounds(shutdownMillis, 0.2, 10_000, 50, 5_000, 1, 0));
     return new Instance(closeAfterTest(Gateway.start(settings)), settings);
   }
