--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/WaitingAtPlacerTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/WaitingAtPlacerTest.java
@@ -119,7 +119,7 @@
                                 && p.request().origin().equals("e-2")));
     placer.answerWithWait(true);
     instance = second;
-    CompletableFuture<RawReply> reply = sendAndWait("r1");
+    final CompletableFuture<RawReply> reply = sendAndWait("r1");
     placer.announceRoles(Set.of());
     next.announceRoles(ROLES);
     await(() -> asked(next, "r1") > 0, MAX_DECISION_MILLIS);
