--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineChooser.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineChooser.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Chooses replicas of one service for the requests of all instances. Times are monotonic, in
@@ -25,8 +26,21 @@
    */
   EngineDecision ask(EnginePlacer.EngineRequest request, long now);
 
-  /** Records that the response to a request has started, which means that its prompt is read. */
-  void onResponseStarted(String requestId);
+  /**
+   * Records that the response to a request has started, which means that its prompt is read.
+   *
+   * @param requestId identifier of the request, not null
+   * @param now current time
+   */
+  void onResponseStarted(String requestId, long now);
+
+  /**
+   * Returns the work that a placed request waits for before its response starts.
+   *
+   * @param requestId identifier of the request, not null
+   * @return the work, or empty if the request is not in flight or its response has started
+   */
+  Optional<EnginePlacer.FirstEventWork> workBeforeResponse(String requestId);
 
   /**
    * Records the load that the replica of a placed request has stated.
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -34,6 +34,9 @@
   /** Assumed number of tokens that a replica reads per millisecond; it is not configured. */
   private static final double READ_TOKENS_PER_MILLI = 80;
 
+  /** Assumed time until the first event besides that for reading prompts, in milliseconds. */
+  private static final double FIRST_EVENT_MILLIS = 15;
+
   /** Cost of reading shared prompt parts again, besides the time that it takes, in milliseconds. */
   private static final double REREAD_COST_MILLIS = 40;
 
@@ -43,9 +46,15 @@
   /** Cost of each request in flight at the replica, in milliseconds. */
   private static final double IN_FLIGHT_COST_MILLIS = 2;
 
+  /** Cost of running the request itself at the usual speed, in milliseconds. */
+  private static final double OWN_COST_MILLIS = 5;
+
   /** Number of recent prompt keys whose parts a replica is assumed to have in its cache. */
   private static final int MAX_PROMPT_KEYS_PER_REPLICA = 256;
 
+  /** Expected time to the start of a response besides the time of reading, in milliseconds. */
+  private static final double MIN_EXPECTED_MILLIS = 100;
+
   private static final long FIRST_COOLDOWN_MILLIS = 300;
   private static final int MAX_COOLDOWN_DOUBLINGS = 4;
 
@@ -59,11 +68,14 @@
   private final Map<String, PlacedRequest> placed = new LinkedHashMap<>();
 
   private final SendPermits permits;
+  private final ReplicaPace pace;
   private final ReplicaSpeeds speeds;
   private final EngineRoom room;
 
-  private EnginePlacer(SendPermits permits, ReplicaSpeeds speeds, EngineRoom room) {
+  private EnginePlacer(
+      SendPermits permits, ReplicaPace pace, ReplicaSpeeds speeds, EngineRoom room) {
     this.permits = permits;
+    this.pace = pace;
     this.speeds = speeds;
     this.room = room;
   }
@@ -80,20 +92,35 @@
    * @return the placer
    */
   public static EnginePlacer create(SendPermits permits) {
-    return create(permits, ReplicaSpeeds.EQUAL, EngineRoom.SLOTS);
+    return create(permits, ReplicaPace.NONE, ReplicaSpeeds.EQUAL);
+  }
+
+  /**
+   * Returns a placer without replicas, for replicas whose room is that of their slots.
+   *
+   * @param permits permits of which one is taken for each placed request, not null
+   * @param pace pace of replicas that start or recover, not null
+   * @param speeds speeds of the replicas, by which expected times are divided, not null
+   * @return the placer
+   */
+  public static EnginePlacer create(SendPermits permits, ReplicaPace pace, ReplicaSpeeds speeds) {
+    return create(permits, pace, speeds, EngineRoom.SLOTS);
   }
 
   /**
    * Returns a placer without replicas.
    *
    * @param permits permits of which one is taken for each placed request, not null
-   * @param speeds speeds of the replicas, by which the time to read prompts is divided, not null
+   * @param pace pace of replicas that start or recover, not null
+   * @param speeds speeds of the replicas, by which expected times are divided, not null
    * @param room decides which replicas have room for a request, not null
    * @return the placer
    */
-  public static EnginePlacer create(SendPermits permits, ReplicaSpeeds speeds, EngineRoom room) {
+  public static EnginePlacer create(
+      SendPermits permits, ReplicaPace pace, ReplicaSpeeds speeds, EngineRoom room) {
     return new EnginePlacer(
         Objects.requireNonNull(permits, "permits"),
+        Objects.requireNonNull(pace, "pace"),
         Objects.requireNonNull(speeds, "speeds"),
         Objects.requireNonNull(room, "room"));
   }
@@ -124,10 +151,14 @@
             .filter(engine -> engine.isHealthy(now) || !anyHealthy)
             .toList();
     Optional<EngineReplica> hashedEngine = hashedEngine(request, candidates);
-    Optional<EngineReplica> best =
+    List<EngineReplica> withRoom =
         candidates.stream()
             .filter(engine -> hasRoom(engine, request, now))
+            .filter(engine -> engine.inFlight < pace.maxLimit(engine.replica, now))
             .filter(engine -> permits.isAvailable(engine.replica, now))
+            .toList();
+    Optional<EngineReplica> best =
+        preferWithinPace(withRoom, now).stream()
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
@@ -180,6 +211,7 @@
         .anyMatch(
             engine ->
                 EngineRoom.SLOTS.admits(load(engine, now), 0, 0)
+                    && engine.inFlight < pace.maxLimit(engine.replica, now)
                     && permits.isAvailable(engine.replica, now));
   }
 
@@ -217,6 +249,15 @@
         .anyMatch(idle -> room.admits(idle, request.memoryTokens(), 0));
   }
 
+  /** Returns the replicas that are within their pace, or all if none is. */
+  private List<EngineReplica> preferWithinPace(List<EngineReplica> withRoom, long now) {
+    List<EngineReplica> withinPace =
+        withRoom.stream()
+            .filter(engine -> engine.inFlight < pace.limit(engine.replica, now))
+            .toList();
+    return withinPace.isEmpty() ? withRoom : withinPace;
+  }
+
   /**
    * Returns the replica that is preferred for prompt parts which no candidate is known to have
    * read. Rendezvous hashing selects the same replica at every placer, so a new placer sends
@@ -236,8 +277,9 @@
   }
 
   private void recordPlacement(EngineRequest request, EngineReplica engine, long now) {
-    long unreadTokens = engine.tokensToRead(request);
+    final long unreadTokens = engine.tokensToRead(request);
     permits.take(engine.replica, now);
+    pace.onChosen(engine.replica, now);
     engine.inFlight++;
     engine.unreadTokens += unreadTokens;
     engine.heldTokens += request.memoryTokens();
@@ -246,12 +288,28 @@
   }
 
   @Override
-  public void onResponseStarted(String requestId) {
+  public Optional<FirstEventWork> workBeforeResponse(String requestId) {
+    return Optional.ofNullable(placed.get(requestId))
+        .filter(request -> !request.responseStarted)
+        .map(
+            request ->
+                new FirstEventWork(
+                    request.engine.replica,
+                    FIRST_EVENT_MILLIS + request.tokensToReadFirst / READ_TOKENS_PER_MILLI));
+  }
+
+  @Override
+  public void onResponseStarted(String requestId, long now) {
     PlacedRequest placedRequest = placed.get(requestId);
     if (placedRequest != null && !placedRequest.responseStarted) {
       placedRequest.responseStarted = true;
       placedRequest.engine.unreadTokens -= placedRequest.unreadTokens;
       placedRequest.engine.cooldown.succeeded();
+      pace.onResponse(
+          placedRequest.engine.replica,
+          Nanos.toMillis(now - placedRequest.placedAt),
+          MIN_EXPECTED_MILLIS + placedRequest.tokensToReadFirst / READ_TOKENS_PER_MILLI,
+          now);
     }
   }
 
@@ -287,7 +345,11 @@
       placedRequest.engine.unreadTokens -= placedRequest.unreadTokens;
     }
     if (!responded) {
-      placedRequest.engine.onNoResponse(now);
+      EngineReplica engine = placedRequest.engine;
+      engine.promptKeys.clear();
+      if (!pace.onFailure(engine.replica, placedRequest.placedAt, now)) {
+        engine.cooldown.failed(now);
+      }
     }
   }
 
@@ -403,12 +465,24 @@
     }
   }
 
+  /**
+   * Work until the start of a response.
+   *
+   * @param replica the replica that does it
+   * @param expectedMillis time that it takes at the usual speed, in milliseconds
+   */
+  public record FirstEventWork(UpstreamReplica replica, double expectedMillis) {}
+
   /** A request in flight at a replica. Times are in nanoseconds. */
   private static final class PlacedRequest {
     private final String origin;
     private final EngineReplica engine;
     private final long unreadTokens;
     private final long heldTokens;
+
+    /** Tokens of all prompts that the replica reads before the response starts. */
+    private final long tokensToReadFirst;
+
     private final long placedAt;
     private boolean responseStarted;
 
@@ -418,6 +492,7 @@
       this.heldTokens = request.memoryTokens();
       this.engine = engine;
       this.unreadTokens = unreadTokens;
+      this.tokensToReadFirst = engine.unreadTokens;
       this.placedAt = placedAt;
     }
   }
@@ -458,12 +533,13 @@
     private double costMillis(
         EngineRequest request, Optional<EngineReplica> hashedEngine, double speed) {
       boolean sharedPartsRead = hasSharedParts(request) || hashedEngine.isPresent();
-      long tokensToReadFirst = unreadTokens + tokensToRead(request);
+      double tokensToReadFirst = (unreadTokens + tokensToRead(request)) / speed;
       boolean pauses = tokensToReadFirst > MAX_TOKENS_WITHOUT_PAUSE;
-      return tokensToReadFirst / READ_TOKENS_PER_MILLI / speed
+      return tokensToReadFirst / READ_TOKENS_PER_MILLI
           + (sharedPartsRead || request.sharedTokens() == 0 ? 0 : REREAD_COST_MILLIS)
           + transferMillis(request)
-          + inFlight * (IN_FLIGHT_COST_MILLIS + (pauses ? STREAM_PAUSE_COST_MILLIS : 0));
+          + inFlight * (IN_FLIGHT_COST_MILLIS / speed + (pauses ? STREAM_PAUSE_COST_MILLIS : 0))
+          + OWN_COST_MILLIS * (1 / speed - 1);
     }
 
     private double transferMillis(EngineRequest request) {
@@ -483,10 +559,5 @@
     private boolean isHealthy(long now) {
       return !cooldown.isCoolingDown(now);
     }
-
-    private void onNoResponse(long now) {
-      cooldown.failed(now);
-      promptKeys.clear();
-    }
   }
 }
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
@@ -297,8 +297,13 @@
   }
 
   @Override
-  public void onResponseStarted(String requestId) {
-    placer.onResponseStarted(requestId);
+  public void onResponseStarted(String requestId, long now) {
+    placer.onResponseStarted(requestId, now);
+  }
+
+  @Override
+  public Optional<EnginePlacer.FirstEventWork> workBeforeResponse(String requestId) {
+    return placer.workBeforeResponse(requestId);
   }
 
   @Override
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -7,7 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusspar.core.balancing.Endpoint;
@@ -31,21 +33,50 @@
    */
   private static final double MAX_COOLING_DOWN_SHARE = 0.5;
 
+  /** Expected response time; the requests of a service are taken for equal. */
+  private static final double EXPECTED_MILLIS = 1;
+
+  /**
+   * Smallest share of the speed of the fastest replica at which another one is taken for equally
+   * fast. Instances that choose alone thus avoid slow replicas, but do not all rush to the one that
+   * was the fastest a moment ago.
+   */
+  private static final double SIMILAR_SPEED_SHARE = 0.6;
+
+  private final ObservedSpeeds speeds = ObservedSpeeds.create();
   private Map<String, List<UpstreamReplica>> byService = Map.of();
   private Map<String, UpstreamReplica> byId = Map.of();
   private Map<Endpoint, UpstreamReplica> byEndpoint = Map.of();
   private final Map<String, ReplicaLoad> loads = new HashMap<>();
+  private final ReplicaPace pace;
   private final ReplicaAvailability availability = ReplicaAvailability.create();
   private Collection<UpstreamReplica> lastListed = List.of();
 
   /** Identifiers of replicas that leave by their own word but not by the list, by service. */
   private Map<String, Set<String>> leavingUnlisted = Map.of();
 
-  private ReplicaRegistry() {}
+  private Set<DataCentre> evacuatedDataCentres = Set.of();
 
-  /** Returns a registry without replicas. */
+  /** Identifiers of replicas that are not leaving, in evacuated data centres, by service. */
+  private Map<String, Set<String>> evacuated = Map.of();
+
+  private ReplicaRegistry(ReplicaPace pace) {
+    this.pace = pace;
+  }
+
+  /** Returns a registry without replicas that paces none. */
   public static ReplicaRegistry create() {
-    return new ReplicaRegistry();
+    return create(ReplicaPace.NONE);
+  }
+
+  /**
+   * Returns a registry without replicas.
+   *
+   * @param pace pace of replicas that start or recover, not null
+   * @return the registry
+   */
+  public static ReplicaRegistry create(ReplicaPace pace) {
+    return new ReplicaRegistry(Objects.requireNonNull(pace, "pace"));
   }
 
   /**
@@ -77,8 +108,11 @@
     Map<String, List<UpstreamReplica>> grouped = new LinkedHashMap<>();
     Map<String, UpstreamReplica> ids = new LinkedHashMap<>();
     Map<String, ReplicaLoad> knownLoads = new HashMap<>();
+    Map<String, Set<String>> evacuatedIds = new HashMap<>();
     for (UpstreamReplica replica : listed) {
-      if (!replica.leaving()) {
+      if (!replica.leaving() && isEvacuated(replica)) {
+        evacuatedIds.computeIfAbsent(replica.service(), s -> new HashSet<>()).add(replica.id());
+      } else if (!replica.leaving()) {
         grouped.computeIfAbsent(replica.service(), s -> new ArrayList<>()).add(replica);
       }
       ids.put(replica.id(), replica);
@@ -89,12 +123,45 @@
         .removeIf(e -> !knownLoads.containsKey(e.getKey()) && e.getValue().inFlight() == 0);
     loads.putAll(knownLoads);
     byService = grouped;
+    evacuated = evacuatedIds;
     byId = ids;
     Map<Endpoint, UpstreamReplica> endpoints = new HashMap<>();
     listed.forEach(replica -> endpoints.put(replica.endpoint(), replica));
     byEndpoint = endpoints;
   }
 
+  /**
+   * Replaces the data centres whose replicas get nothing new.
+   *
+   * @param dataCentres the evacuated data centres, not null
+   */
+  public void evacuate(Set<DataCentre> dataCentres) {
+    evacuatedDataCentres = Set.copyOf(dataCentres);
+    replace(lastListed);
+  }
+
+  /** Returns whether a replica runs in a data centre that is evacuated. */
+  public boolean isEvacuated(UpstreamReplica replica) {
+    return evacuatedDataCentres.contains(replica.dataCentre());
+  }
+
+  /** Returns whether all replicas of a service that are not leaving are evacuated. */
+  public boolean isEvacuated(String service) {
+    return evacuated.containsKey(service) && notLeaving(service).isEmpty();
+  }
+
+  /** Returns the identifiers of the evacuated replicas of a service that are not leaving. */
+  public Set<String> evacuated(String service) {
+    return evacuated.getOrDefault(service, Set.of());
+  }
+
+  /** Returns the listed replicas in some data centres, leaving or not. */
+  public List<UpstreamReplica> in(Set<DataCentre> dataCentres) {
+    return lastListed.stream()
+        .filter(replica -> dataCentres.contains(replica.dataCentre()))
+        .toList();
+  }
+
   /** Returns the listed replica with an identifier, leaving or not, or empty if there is none. */
   public Optional<UpstreamReplica> find(String id) {
     return Optional.ofNullable(byId.get(id));
@@ -114,18 +181,27 @@
    * Returns the number of listed replicas by state.
    *
    * @param now current monotonic time, in nanoseconds
-   * @return counts by "leaving", "resting" (cooling down after failures) and "usable" (others);
-   *     states without replicas are absent
+   * @return counts by "leaving", "evacuated", "resting" (cooling down after failures) and "usable"
+   *     (others); states without replicas are absent
    */
   public Map<String, Integer> countByState(long now) {
     Map<String, Integer> counts = new HashMap<>();
     for (UpstreamReplica replica : byId.values()) {
-      String state = load(replica).isCoolingDown(now) ? "resting" : "usable";
-      counts.merge(replica.leaving() ? "leaving" : state, 1, Integer::sum);
+      counts.merge(state(replica, now), 1, Integer::sum);
     }
     return counts;
   }
 
+  private String state(UpstreamReplica replica, long now) {
+    if (replica.leaving()) {
+      return "leaving";
+    }
+    if (isEvacuated(replica)) {
+      return "evacuated";
+    }
+    return load(replica).isCoolingDown(now) ? "resting" : "usable";
+  }
+
   /** Returns the replicas of this registry that are missing from a newer list. */
   public List<UpstreamReplica> missingFrom(Collection<UpstreamReplica> current) {
     Set<String> ids = new HashSet<>();
@@ -133,7 +209,15 @@
     return byId.values().stream().filter(replica -> !ids.contains(replica.id())).toList();
   }
 
-  /** Returns the listed replicas of a service that are not leaving, cooling down or not. */
+  /** Returns what {@link #notLeaving(String)} returns for all services together. */
+  public List<UpstreamReplica> notLeaving() {
+    return byService.values().stream().flatMap(List::stream).toList();
+  }
+
+  /**
+   * Returns the listed replicas of a service that are not leaving, cooling down or not, except
+   * those in evacuated data centres.
+   */
   public List<UpstreamReplica> notLeaving(String service) {
     return byService.getOrDefault(service, List.of());
   }
@@ -179,11 +263,13 @@
    *
    * @param replica the replica, not null
    * @param now current monotonic time, in nanoseconds
-   * @return false if it has announced its shutdown in a response, or asked for a pause that has not
-   *     ended
+   * @return false if it has announced its shutdown in a response, asked for a pause that has not
+   *     ended, or runs in an evacuated data centre
    */
   public boolean mayReceive(UpstreamReplica replica, long now) {
-    return !availability.isLeaving(replica) && !availability.isBackingOff(replica, now);
+    return !isEvacuated(replica)
+        && !availability.isLeaving(replica)
+        && !availability.isBackingOff(replica, now);
   }
 
   /**
@@ -218,6 +304,17 @@
         : OptionalLong.of(0);
   }
 
+  /**
+   * Returns whether replicas of a service state how long work takes. One instance then chooses for
+   * all, since such figures are too old by the time of the next request of a single instance.
+   *
+   * @param service name of the service, not null
+   * @return true once one of them has
+   */
+  public boolean statesWorkTime(String service) {
+    return speeds.isStated(service);
+  }
+
   /**
    * Chooses a replica for a request from those with free capacity.
    *
@@ -235,13 +332,36 @@
     List<UpstreamReplica> healthy =
         listed.stream().filter(replica -> !load(replica).isCoolingDown(now)).toList();
     boolean enoughHealthy = healthy.size() >= listed.size() * (1 - MAX_COOLING_DOWN_SHARE);
-    List<Placement.Candidate> candidates =
+    List<UpstreamReplica> withRoom =
         (enoughHealthy ? healthy : listed)
             .stream()
                 .filter(replica -> hasCapacity(replica, now))
-                .map(replica -> candidate(replica, now))
+                .filter(replica -> load(replica).estimate(now) < pace.maxLimit(replica, now))
                 .toList();
-    return placement.choose(request, candidates).map(Placement.Candidate::replica);
+    double fastest =
+        listed.stream().mapToDouble(each -> speeds.relativeSpeed(each, now)).max().orElse(1);
+    List<Placement.Candidate> candidates =
+        preferWithinPace(withRoom, request.repeatable(), now).stream()
+            .map(replica -> candidate(replica, fastest, now))
+            .toList();
+    Optional<UpstreamReplica> chosen =
+        placement.choose(request, candidates).map(Placement.Candidate::replica);
+    chosen.ifPresent(replica -> pace.onChosen(replica, now));
+    return chosen;
+  }
+
+  /**
+   * Returns the replicas that are within their pace, or all if none is. A request that must not be
+   * repeated tests no replica.
+   */
+  private List<UpstreamReplica> preferWithinPace(
+      List<UpstreamReplica> withRoom, boolean repeatable, long now) {
+    List<UpstreamReplica> withinPace =
+        withRoom.stream()
+            .filter(replica -> load(replica).estimate(now) < pace.limit(replica, now))
+            .filter(replica -> repeatable || !pace.isDoubtful(replica, now))
+            .toList();
+    return withinPace.isEmpty() ? withRoom : withinPace;
   }
 
   private boolean hasCapacity(UpstreamReplica replica, long now) {
@@ -249,12 +369,20 @@
     return load(replica).estimate(now) < capacity;
   }
 
-  private Placement.Candidate candidate(UpstreamReplica replica, long now) {
+  private Placement.Candidate candidate(UpstreamReplica replica, double fastest, long now) {
     ReplicaLoad load = load(replica);
-    double cost = relativeTime(replica) * (1 + FAILURE_COST_FACTOR * load.failureShare());
+    double time =
+        speeds.isStated(replica.service())
+            ? timeBySpeed(speeds.relativeSpeed(replica, now) / fastest)
+            : relativeTime(replica);
+    double cost = time * (1 + FAILURE_COST_FACTOR * load.failureShare());
     return new Placement.Candidate(replica, load.estimate(now), cost);
   }
 
+  private static double timeBySpeed(double shareOfFastest) {
+    return shareOfFastest >= SIMILAR_SPEED_SHARE ? 1 : 1 / shareOfFastest;
+  }
+
   /**
    * Returns the mean response time of a replica relative to the mean of its service, at least 0.5;
    * 1 if one of them is unknown.
@@ -288,11 +416,12 @@
    * Records a load report of a replica.
    *
    * @param replica the replica, not null
-   * @param runningAndWaiting number of running and waiting requests at the replica
+   * @param stated the load that it states, not null
    * @param now current monotonic time, in nanoseconds
    */
-  public void onReport(UpstreamReplica replica, int runningAndWaiting, long now) {
-    load(replica).onReport(runningAndWaiting, now);
+  public void onReport(UpstreamReplica replica, StatedLoad stated, long now) {
+    load(replica).onReport(stated.runningAndWaiting(), now);
+    stated.workPercent().ifPresent(percent -> speeds.onStated(replica, percent, now));
   }
 
   /**
@@ -300,9 +429,29 @@
    *
    * @param replica the replica, not null
    * @param millis response time in milliseconds
+   * @param now current monotonic time, in nanoseconds
    */
-  public void onValidResponse(UpstreamReplica replica, double millis) {
+  public void onValidResponse(UpstreamReplica replica, double millis, long now) {
     load(replica).onValidResponse(millis);
+    pace.onResponse(replica, millis, EXPECTED_MILLIS, now);
+  }
+
+  /**
+   * Counts a valid response to a request whose time depends on the replica more than on the
+   * request.
+   *
+   * @param replica the replica, not null
+   * @param millis response time in milliseconds
+   * @param stated load that the replica states in the response, empty if it states none
+   * @param now current monotonic time, in nanoseconds
+   */
+  public void onValidResponse(
+      UpstreamReplica replica, double millis, Optional<StatedLoad> stated, long now) {
+    onValidResponse(replica, millis, now);
+    stated
+        .map(StatedLoad::workPercent)
+        .filter(OptionalInt::isPresent)
+        .ifPresent(percent -> speeds.onWork(replica, 1, millis, percent, now));
   }
 
   /** Counts a response that reports a failure of the request at the replica. */
@@ -311,12 +460,15 @@
   }
 
   /**
-   * Counts a request that could not be sent or got no valid response, and starts a cooldown.
+   * Counts a request that could not be sent or got no valid response, and starts a cooldown unless
+   * the replica is paced, which bounds its requests instead.
    *
    * @param replica the replica, not null
    * @param now current monotonic time, in nanoseconds
    */
   public void onNoResponse(UpstreamReplica replica, long now) {
-    load(replica).onNoResponse(now);
+    if (!pace.onFailure(replica, now, now)) {
+      load(replica).onNoResponse(now);
+    }
   }
 }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueReplay.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueReplay.java
@@ -150,7 +150,7 @@
         Event event = events.poll();
         switch (event.step()) {
           case ASK -> ask(event.client(), now, waiting);
-          case FIRST_TOKEN -> chooser.onResponseStarted(event.id());
+          case FIRST_TOKEN -> chooser.onResponseStarted(event.id(), Nanos.ofMillis(now));
           default -> chooser.onEnded(event.id(), true, Nanos.ofMillis(now));
         }
       }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
@@ -29,7 +29,10 @@
   private static EngineQueue queue(long memoryTokens) {
     return EngineQueue.create(
         EnginePlacer.create(
-            SendPermits.UNLIMITED, ReplicaSpeeds.EQUAL, EngineRoom.ofMemory(() -> memoryTokens)));
+            SendPermits.UNLIMITED,
+            ReplicaPace.NONE,
+            ReplicaSpeeds.EQUAL,
+            EngineRoom.ofMemory(() -> memoryTokens)));
   }
 
   private static EngineQueue queue(int replicas, int slots, long memoryTokens) {
@@ -168,7 +171,7 @@
   void engineIsNotFilledBeyondItsMemory() {
     EngineQueue queue = queue(1, 32, 10_000);
     assertEquals(EngineDecision.State.PLACED, ask(queue, "a", 5_000, demand(0, 4_000), 0));
-    queue.onResponseStarted("a");
+    queue.onResponseStarted("a", 0);
     assertEquals(EngineDecision.State.WAITING, ask(queue, "b", 5_000, demand(0, 4_000), 0));
     assertEquals(EngineDecision.State.REJECTED, ask(queue, "c", 11_000, demand(0, 4_000), 0));
     queue.onEnded("a", true, millis(5));
@@ -181,7 +184,7 @@
     EngineQueue queue = queue(2, 32, 10_000);
     for (int i = 0; i < 8; i++) {
       ask(queue, "s" + i, 2_000, demand(0, 60_000), 0);
-      queue.onResponseStarted("s" + i);
+      queue.onResponseStarted("s" + i, 0);
     }
     assertEquals(EngineDecision.State.WAITING, ask(queue, "large", 8_000, demand(0, 50_000), 0));
     for (int round = 0; queue.waiting() > 0; round++) {
@@ -191,7 +194,7 @@
       ask(queue, "large", 8_000, demand(0, 50_000), now);
       String next = "s" + (round + 8);
       if (ask(queue, next, 2_000, demand(0, 60_000), now) == EngineDecision.State.PLACED) {
-        queue.onResponseStarted(next);
+        queue.onResponseStarted(next, now);
       } else {
         queue.onEnded(next, true, now);
       }
@@ -230,7 +233,7 @@
     EngineQueue queue = queue(1, 4, MEMORY_TOKENS);
     ask(queue, "a", 10, demand(0, 4_000), 0);
     queue.onStatedLoad("a", 4, 0);
-    queue.onResponseStarted("a");
+    queue.onResponseStarted("a", 0);
     assertEquals(EngineDecision.State.WAITING, ask(queue, "b", 10, demand(0, 4_000), millis(1)));
     ask(queue, "b", 10, demand(0, 4_000), millis(900));
     queue.onStatedLoad("a", 2, millis(1_000));
--- a/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
+++ b/arbutusspar-ctl/src/main/java/org/arbutusspar/ctl/CtlMain.java
@@ -53,11 +53,13 @@
         .withDescription("Operates arbutusspar deployments")
         .withCommands(
             ValidateCommand.class,
+            CheckCommand.class,
             ApplyCommand.class,
             DiffCommand.class,
             ShowCommand.class,
             StatusCommand.class,
             ExplainCommand.class,
+            OutcomesCommand.class,
             AddressesCommand.class,
             CallCommand.class,
             LoadCommand.class,
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.arbutusspar.core.peer.ActiveRoles;
 import org.arbutusspar.core.peer.PeerTable;
 import org.arbutusspar.core.placement.CrashingPartDetector;
@@ -15,20 +15,23 @@
 import org.arbutusspar.core.placement.EngineDecision;
 import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.ObservedSpeeds;
 import org.arbutusspar.core.placement.ReplicaRegistry;
+import org.arbutusspar.core.placement.ReplicaSpeeds;
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.io.EventLog;
 import org.arbutusspar.io.link.PeerMessage;
 
 /**
  * Chooses replicas of model engines for requests, and of other services while one of their replicas
- * limits its request rate. For each service, one instance, the placer, chooses for the requests of
- * all instances, so that it knows the load of each replica. If the placer is unreachable or does
- * not respond in time, this instance chooses instead, from replicas without a limit. The placer
- * also finds prompt parts that crash engines, and chooses no replica for a request with a blocked
- * part.
+ * limits its request rate, or if they state how long work takes. For each service, one instance,
+ * the placer, chooses for the requests of all instances, so that it knows the load of each replica.
+ * If the placer is unreachable or does not respond in time, this instance chooses instead, from
+ * replicas without a limit. The placer also finds prompt parts that crash engines, and chooses no
+ * replica for a request with a blocked part.
  *
  * <p>Where callers compete for capacity, requests that find no room wait at the placer. This
  * instance keeps its request meanwhile, with its deadline, and asks again at a regular interval. If
@@ -51,6 +54,14 @@
    */
   private static final long SETTLE_INTERVAL_MILLIS = 20;
 
+  private static final double PERCENT = 100;
+
+  /** Ratio by which the lasting speed of a replica must change to be logged again. */
+  private static final double LOGGED_SPEED_RATIO = 1.3;
+
+  /** Maximum number of replicas whose speeds are reported as metrics. */
+  private static final int MAX_REPORTED_SPEEDS = 200;
+
   /** Prefix of a placer's role name; the name of the service follows. */
   private static final String ROLE_PREFIX = "place/";
 
@@ -61,9 +72,16 @@
   private final BlockList blocks;
   private final EventLog log;
   private final boolean contended;
-  private final Function<String, EngineChooser> newChooser;
+  private final BiFunction<String, ReplicaSpeeds, EngineChooser> newChooser;
   private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
   private final Map<String, EngineChooser> choosers = new HashMap<>();
+
+  /** Speeds of the replicas for whose services this instance is the placer. */
+  private final ObservedSpeeds speeds = ObservedSpeeds.create();
+
+  /** Lasting speeds that were logged last, by identifier of the replica. */
+  private final Map<String, Double> loggedSpeeds = new HashMap<>();
+
   private final ActiveRoles activeRoles = ActiveRoles.create();
   private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
 
@@ -83,7 +101,7 @@
       BlockList blocks,
       EventLog log,
       boolean contended,
-      Function<String, EngineChooser> newChooser) {
+      BiFunction<String, ReplicaSpeeds, EngineChooser> newChooser) {
     this.peers = peers;
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
@@ -318,7 +336,7 @@
     return choosers.computeIfAbsent(
         service,
         name -> {
-          EngineChooser chooser = newChooser.apply(name);
+          EngineChooser chooser = newChooser.apply(name, speeds);
           chooser.replicas(replicas.notLeaving(name));
           return chooser;
         });
@@ -346,11 +364,33 @@
    */
   void report(
       String service, String requestId, PeerMessage.RunState state, Optional<StatedLoad> load) {
-    OptionalInt requests =
-        contended && load.isPresent()
-            ? OptionalInt.of(load.get().runningAndWaiting())
-            : OptionalInt.empty();
-    sendUpdate(new PeerMessage.PlacementUpdate(service, requestId, state, "", requests));
+    sendUpdate(
+        new PeerMessage.PlacementUpdate(
+            service, requestId, state, "", Optional.empty(), statedRequests(load)));
+  }
+
+  private OptionalInt statedRequests(Optional<StatedLoad> load) {
+    return contended && load.isPresent()
+        ? OptionalInt.of(load.get().runningAndWaiting())
+        : OptionalInt.empty();
+  }
+
+  /**
+   * Reports to the placer of a request that the response has started.
+   *
+   * @param service name of the engine's service, not null
+   * @param requestId identifier of the request, not null
+   * @param observation how long the replica took; empty if it does not state how long work takes
+   * @param load load that the replica has stated, not null
+   */
+  void reportStarted(
+      String service,
+      String requestId,
+      Optional<WorkObservation> observation,
+      Optional<StatedLoad> load) {
+    sendUpdate(
+        new PeerMessage.PlacementUpdate(
+            service, requestId, PeerMessage.RunState.BEGUN, "", observation, statedRequests(load)));
   }
 
   /**
@@ -403,7 +443,8 @@
         .statedRequests()
         .ifPresent(requests -> chooser.onStatedLoad(requestId, requests, loop.now()));
     if (state == PeerMessage.RunState.BEGUN) {
-      chooser.onResponseStarted(requestId);
+      update.observation().ifPresent(observation -> learnSpeed(service, requestId, observation));
+      chooser.onResponseStarted(requestId, loop.now());
     } else {
       boolean failed =
           state == PeerMessage.RunState.BROKEN || state == PeerMessage.RunState.CRASHED;
@@ -416,6 +457,61 @@
     findings.cleared().forEach(blocks::permit);
   }
 
+  private void learnSpeed(String service, String requestId, WorkObservation observation) {
+    chooser(service)
+        .workBeforeResponse(requestId)
+        .ifPresent(
+            work -> {
+              speeds.onWork(
+                  work.replica(),
+                  work.expectedMillis(),
+                  observation.responseMillis(),
+                  OptionalInt.of(observation.workPercent()),
+                  loop.now());
+              speeds.onStated(work.replica(), observation.workPercent(), loop.now());
+            });
+  }
+
+  /** Logs the lasting speeds of replicas that have changed, for the services placed here. */
+  void logSpeeds() {
+    List<UpstreamReplica> replicasWithSpeed = replicasWithSpeed();
+    loggedSpeeds.keySet().retainAll(replicasWithSpeed.stream().map(UpstreamReplica::id).toList());
+    for (UpstreamReplica replica : replicasWithSpeed) {
+      double speed = speeds.lastingSpeed(replica, loop.now());
+      double ratio = speed / loggedSpeeds.getOrDefault(replica.id(), 1.0);
+      if (ratio >= LOGGED_SPEED_RATIO || ratio <= 1 / LOGGED_SPEED_RATIO) {
+        loggedSpeeds.put(replica.id(), speed);
+        log.write(
+            "replica-speed",
+            "service",
+            replica.service(),
+            "replica",
+            replica.id(),
+            "percent",
+            Math.round(PERCENT * speed));
+      }
+    }
+  }
+
+  /** Returns the speeds of replicas in percent by their identifiers, for services placed here. */
+  Map<String, Integer> speedPercents() {
+    Map<String, Integer> percents = new HashMap<>();
+    for (UpstreamReplica replica : replicasWithSpeed()) {
+      double speed = speeds.relativeSpeed(replica, loop.now());
+      percents.put(replica.id(), (int) Math.round(PERCENT * speed));
+    }
+    return percents;
+  }
+
+  private List<UpstreamReplica> replicasWithSpeed() {
+    Set<String> roles = activeRoles();
+    return choosers.keySet().stream()
+        .filter(service -> roles.contains(role(service)) && speeds.isStated(service))
+        .flatMap(service -> replicas.notLeaving(service).stream())
+        .limit(MAX_REPORTED_SPEEDS)
+        .toList();
+  }
+
   private CrashingPartDetector.Findings findings(
       CrashingPartDetector detector, PeerMessage.PlacementUpdate update) {
     String requestId = update.requestId();
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -23,7 +23,9 @@
 import org.arbutusspar.core.placement.RequestIdentity;
 import org.arbutusspar.core.placement.RetryRules;
 import org.arbutusspar.core.placement.SendVerdict;
+import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.routing.KeyOwner;
 import org.arbutusspar.core.routing.Route;
 import org.arbutusspar.core.routing.ServedService;
@@ -119,6 +121,9 @@
 
   private boolean ended;
 
+  /** Whether another instance has chosen an evacuated replica for this request. */
+  private boolean placedAtEvacuated;
+
   /** The last attempt; null before the first one. */
   private UpstreamAttempt attempt;
 
@@ -209,6 +214,10 @@
             keyOwner.map(KeyOwner::workspace).orElse("-"),
             "service",
             service,
+            "priority",
+            priority(),
+            "target_ms",
+            route.targetMillis(),
             "left_ms",
             remainingMillis(),
             "waited_ms",
@@ -218,6 +227,8 @@
     Optional<BlockDecision> blocked = findBlocked();
     if (blocked.isPresent()) {
       failBlocked(blocked.get());
+    } else if (isAnyServiceEvacuated()) {
+      fail("evacuated");
     } else if (isBackoffPastDeadline()) {
       fail("backoff");
     } else if (route.stages().isEmpty()) {
@@ -292,6 +303,13 @@
       context
           .engines()
           .find(service, engineRequest(), decision -> runStep(() -> onDecision(decision)));
+    } else if (context.replicas().statesWorkTime(service)) {
+      context
+          .engines()
+          .find(
+              service,
+              engineRequest(),
+              decision -> runStep(() -> sendOrFail(decision.replica().or(this::chooseReplica))));
     } else {
       sendOrFail(chooseReplica());
     }
@@ -349,9 +367,23 @@
   private Set<String> excludedReplicas() {
     Set<String> excluded = new HashSet<>(triedReplicas);
     excluded.addAll(context.replicas().unavailable(service, context.loop().now()));
+    if (placedAtEvacuated) {
+      excluded.addAll(context.replicas().evacuated(service));
+    }
     return excluded;
   }
 
+  /** Returns whether all replicas that could serve the request or a stage of it are evacuated. */
+  private boolean isAnyServiceEvacuated() {
+    for (int i = 0; i < route.stages().size() && i < request.pieceCounts().size(); i++) {
+      if (request.pieceCounts().get(i) > 0
+          && context.replicas().isEvacuated(route.stages().get(i).service())) {
+        return true;
+      }
+    }
+    return context.replicas().isEvacuated(service);
+  }
+
   /** Returns whether all replicas want no requests until after the deadline. */
   private boolean isBackoffPastDeadline() {
     long now = context.loop().now();
@@ -369,7 +401,8 @@
     } else if (replica.isEmpty()) {
       failWithoutReplica();
     } else if (!context.replicas().mayReceive(replica.get(), context.loop().now())) {
-      // The replica was chosen elsewhere before its announcement was known there.
+      // The replica was chosen elsewhere before its announcement or evacuation was known there.
+      placedAtEvacuated |= context.replicas().isEvacuated(replica.get());
       dispatch();
     } else {
       send(replica.get());
@@ -379,7 +412,11 @@
   private Optional<UpstreamReplica> chooseReplica() {
     PlacementRequest placementRequest =
         new PlacementRequest(
-            service, request.promptKey(), triedReplicas, Rendezvous.hash(request.id()));
+            service,
+            request.promptKey(),
+            triedReplicas,
+            route.isRetryable(),
+            Rendezvous.hash(request.id()));
     return context
         .replicas()
         .choose(placementRequest, context.placement(isModelEngine()), context.loop().now());
@@ -446,12 +483,19 @@
     context
         .log()
         .write("answer-begun", "id", request.id(), "status", status, "ms", elapsedMillis());
-    context
-        .engines()
-        .report(service, request.id(), PeerMessage.RunState.BEGUN, attempt.statedLoad());
+    context.engines().reportStarted(service, request.id(), workObservation(), attempt.statedLoad());
     stageRun.ifPresent(StageRun::releaseResults);
   }
 
+  private Optional<WorkObservation> workObservation() {
+    int millis = (int) Nanos.toMillis(context.loop().now() - sentAt);
+    return attempt
+        .statedLoad()
+        .map(StatedLoad::workPercent)
+        .filter(OptionalInt::isPresent)
+        .map(percent -> new WorkObservation(millis, percent.getAsInt()));
+  }
+
   @Override
   public void onResponseForwarded(int status) {
     context.engines().report(service, request.id(), PeerMessage.RunState.COMPLETED);
@@ -588,7 +632,7 @@
   private void failWithoutReplica() {
     OptionalDouble perSecond = context.rateLimits().totalPerSecond(notLeaving());
     if (perSecond.isEmpty()) {
-      fail("no-replica");
+      fail(context.replicas().isEvacuated(service) ? "evacuated" : "no-replica");
       return;
     }
     context
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -126,18 +126,17 @@
     cancellation = context.client().send(call, this);
   }
 
-  /** Returns the load that the replica stated in its response, empty if it stated none yet. */
-  Optional<StatedLoad> statedLoad() {
-    UpstreamResponse header = response;
-    return header != null && header.valid() ? header.load() : Optional.empty();
-  }
-
   @Override
   public boolean revoke() {
     return sendPhase.compareAndSet(SendPhase.WAITING, SendPhase.REVOKED)
         || sendPhase.get() == SendPhase.REVOKED;
   }
 
+  /** Returns the load that the replica states in its response, empty if there is none yet. */
+  Optional<StatedLoad> statedLoad() {
+    return response == null ? Optional.empty() : response.load();
+  }
+
   /**
    * Abandons the attempt. Its owner is not notified of its end.
    *
@@ -186,8 +185,12 @@
     OptionalLong sentAt = header.valid() ? OptionalLong.of(startedAt) : OptionalLong.empty();
     context.announcements().apply(replica, header.signals(), sentAt);
     header
-        .runningAndWaiting()
-        .ifPresent(inFlight -> context.replicas().onReport(replica, inFlight, receivedAt));
+        .load()
+        .ifPresent(
+            load -> {
+              context.paces().onLoad(replica, load);
+              context.replicas().onReport(replica, load, receivedAt);
+            });
   }
 
   @Override
@@ -278,7 +281,9 @@
           SendVerdict.FAILED, "status-" + response.status(), Optional.of(buffered));
       return;
     }
-    context.replicas().onValidResponse(replica, elapsedMillis());
+    context
+        .replicas()
+        .onValidResponse(replica, elapsedMillis(), statedLoad(), context.loop().now());
     owner.onResponseStarted(response.status());
     exchange.respond(buffered.status(), buffered.fields(), ByteBuffer.wrap(buffered.body()));
     owner.onResponseForwarded(buffered.status());
@@ -290,7 +295,7 @@
       return;
     }
     logEndOfStream("between-events");
-    context.replicas().onValidResponse(replica, elapsedMillis());
+    context.replicas().onValidResponse(replica, elapsedMillis(), context.loop().now());
     exchange.endResponse();
     owner.onResponseForwarded(response.status());
   }
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/WaitingAtPlacerTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/WaitingAtPlacerTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.arbutusspar.core.balancing.Rendezvous;
 import org.arbutusspar.io.http.RawReply;
 import org.arbutusspar.io.link.PeerMessage;
 import org.arbutusspar.platform.standin.SampleTraffic;
@@ -102,9 +104,19 @@
     assertServedOnce(reply, "r1");
   }
 
+  /** Returns the name of a peer that holds the role although instances have used it just now. */
+  private static String nextHolder() {
+    String role = EnginePlacement.role(SampleTraffic.ENGINE);
+    return IntStream.range(2, 100)
+        .mapToObj(number -> "r-" + number)
+        .filter(name -> Rendezvous.top(List.of("e-1", "e-2", name), n -> n, role, 1).contains(name))
+        .findFirst()
+        .orElseThrow();
+  }
+
   @Test
   void requestIsAskedForAgainWhenTheRoleMoves() throws IOException {
-    FakePeer next = closeAfterTest(FakePeer.start("r-2", freeEndpoint("127.0.0.12")));
+    FakePeer next = closeAfterTest(FakePeer.start(nextHolder(), freeEndpoint("127.0.0.12")));
     next.answerWithWait(true);
     next.announceRoles(Set.of());
     Instance second = startInstance("e-2", SECOND_ADDRESS, List.of(placer.links(), next.links()));
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -23,6 +23,7 @@
 import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -131,9 +132,7 @@
         packer.packInt(PLACEMENT_UPDATE).packString(update.service());
         packer.packString(update.requestId()).packInt(update.state().ordinal());
         packer.packString(update.subject());
-        if (update.statedRequests().isPresent()) {
-          packer.packInt(update.statedRequests().getAsInt());
-        }
+        packResponseFacts(packer, update);
       } else if (message instanceof PeerMessage.Block block) {
         packer.packInt(BLOCK).packString(block.decision().subject());
         packer.packLong(block.decision().decidedMillis());
@@ -194,6 +193,7 @@
                 unpacker.unpackString(),
                 enumConstant(PeerMessage.RunState.values(), unpacker),
                 unpacker.hasNext() ? unpacker.unpackString() : "",
+                unpacker.hasNext() ? workObservation(unpacker) : Optional.empty(),
                 unpacker.hasNext() ? OptionalInt.of(unpacker.unpackInt()) : OptionalInt.empty());
         case BLOCK ->
             new PeerMessage.Block(
@@ -227,6 +227,28 @@
         statedAt);
   }
 
+  /** Writes what the replica's response tells, as far as anything is known. */
+  private static void packResponseFacts(
+      MessageBufferPacker packer, PeerMessage.PlacementUpdate update) throws IOException {
+    if (update.observation().isPresent()) {
+      packer.packInt(update.observation().get().responseMillis());
+      packer.packInt(update.observation().get().workPercent());
+    } else if (update.statedRequests().isPresent()) {
+      packer.packNil();
+    }
+    if (update.statedRequests().isPresent()) {
+      packer.packInt(update.statedRequests().getAsInt());
+    }
+  }
+
+  private static Optional<WorkObservation> workObservation(MessageUnpacker unpacker)
+      throws IOException {
+    if (unpacker.tryUnpackNil()) {
+      return Optional.empty();
+    }
+    return Optional.of(new WorkObservation(unpacker.unpackInt(), unpacker.unpackInt()));
+  }
+
   private static CrashReport crashReport(MessageUnpacker unpacker, long now) throws IOException {
     return new CrashReport(
         unpacker.unpackString(),
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.arbutusspar.io.link;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerState;
@@ -11,6 +12,7 @@
 import org.arbutusspar.core.placement.CrashReport;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceOutcome;
 
@@ -122,16 +124,22 @@
    * @param requestId identifier of the request
    * @param state the new state
    * @param subject subject of the request if its connection broke, otherwise the empty string
-   * @param statedRequests number of requests at its replica, as that stated; empty if it is not
+   * @param observation how long the replica took; empty if it does not state how long work takes
+   * @param statedRequests number of requests at the replica, as that stated; empty if it is not
    *     known or not needed
    */
   record PlacementUpdate(
-      String service, String requestId, RunState state, String subject, OptionalInt statedRequests)
+      String service,
+      String requestId,
+      RunState state,
+      String subject,
+      Optional<WorkObservation> observation,
+      OptionalInt statedRequests)
       implements PeerMessage {
 
-    /** Creates an update without a stated number of requests. */
+    /** Creates an update of a state only; see the components of this record. */
     public PlacementUpdate(String service, String requestId, RunState state, String subject) {
-      this(service, requestId, state, subject, OptionalInt.empty());
+      this(service, requestId, state, subject, Optional.empty(), OptionalInt.empty());
     }
   }
 
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -30,6 +30,7 @@
 import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -111,8 +112,14 @@
     assertRoundTrip(new PeerMessage.PlaceResponse("id", "i-1"));
     assertRoundTrip(new PeerMessage.PlaceResponse("id", "", true, 30));
     assertRoundTrip(
-        new PeerMessage.PlacementUpdate(
-            "s", "id", PeerMessage.RunState.BEGUN, "", OptionalInt.of(7)));
+        new PeerMessage.PlacementUpdate("s", "id", PeerMessage.RunState.CRASHED, "request/1f"));
+    for (OptionalInt stated : List.of(OptionalInt.empty(), OptionalInt.of(7))) {
+      Optional<WorkObservation> observation = Optional.of(new WorkObservation(180, 250));
+      PeerMessage.RunState begun = PeerMessage.RunState.BEGUN;
+      assertRoundTrip(new PeerMessage.PlacementUpdate("s", "id", begun, "", observation, stated));
+      assertRoundTrip(
+          new PeerMessage.PlacementUpdate("s", "id", begun, "", Optional.empty(), stated));
+    }
     assertRoundTrip(new PeerMessage.Hello(PEER, List.of(PEER)));
     assertRoundTrip(
         new PeerMessage.Heartbeat(
