Give back the place of a request that excludes its replica while it waits; longer wait for repeated answers

Cause: a request whose replica may no longer get it kept its place there while it waited in the queue. An instance that was asked before it had a configuration kept a placer without a queue. A delay of 60 ms in the event loop of an instance made it place all its waiting requests itself.

Change: the place is given back first; the queue is left out only for services known not to be model engines; an instance waits 250 ms for the response about a request that waits.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
@@ -114,11 +114,11 @@
    */
   @Override
   public EngineDecision ask(EnginePlacer.EngineRequest request, long now) {
-    Optional<UpstreamReplica> place =
-        placer.replicaOf(request.id()).filter(r -> !request.excluded().contains(r.id()));
-    if (place.isPresent()) {
+    Optional<UpstreamReplica> place = placer.replicaOf(request.id());
+    if (place.isPresent() && !request.excluded().contains(place.get().id())) {
       return EngineDecision.placed(place.get());
     }
+    placer.onEnded(request.id(), true, now);
     if (request.demand().isEmpty()) {
       return placer.ask(request, now);
     }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
@@ -215,6 +215,17 @@
     }
   }
 
+  @Test
+  void requestThatExcludesItsReplicaGivesItsPlaceBackWhileItWaits() {
+    EngineQueue queue = queue(2, 1, MEMORY_TOKENS);
+    EnginePlacer.EngineRequest request = request("a", 10, demand(0, 4_000));
+    String first = queue.ask(request, 0).replica().orElseThrow().id();
+    ask(queue, "b", 10, demand(0, 4_000), 0);
+    assertEquals(
+        EngineDecision.State.WAITING, queue.ask(request.withExcluded(List.of(first)), 0).state());
+    assertEquals(EngineDecision.State.PLACED, ask(queue, "c", 10, demand(0, 4_000), 0));
+  }
+
   @Test
   void requestForWhichNobodyAsksAnyMoreIsDropped() {
     EngineQueue queue = queue(1, 1, MEMORY_TOKENS);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -45,6 +45,12 @@
   /** Maximum wait for the response of a remote placer, in milliseconds. */
   private static final long RESPONSE_TIMEOUT_MILLIS = 60;
 
+  /**
+   * Maximum wait for the response of a remote placer at which the request waits, in milliseconds.
+   * It is longer, since a request that waits there usually finds no room elsewhere.
+   */
+  private static final long WAITING_RESPONSE_TIMEOUT_MILLIS = 250;
+
   /** Interval at which an instance asks again for a request that waits, in milliseconds. */
   private static final long ASK_AGAIN_MILLIS = 200;
 
@@ -234,7 +240,7 @@
             && peerNetwork.send(
                 holder, new PeerMessage.PlaceRequest(pending.service, pending.request));
     if (asked) {
-      pending.timer = loop.after(RESPONSE_TIMEOUT_MILLIS, () -> placeLocally(pending));
+      pending.timer = loop.after(WAITING_RESPONSE_TIMEOUT_MILLIS, () -> placeLocally(pending));
     } else {
       decideAnew(pending);
     }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -627,9 +627,13 @@
     return (double) peers.liveCount(now) / (peers.all().size() + 1);
   }
 
-  /** Returns a chooser for a service, with a queue for model engines that callers compete for. */
+  /**
+   * Returns a chooser for a service, with a queue where callers compete for capacity unless the
+   * service is known not to be a model engine.
+   */
   private EngineChooser newEngineChooser(String service, ReplicaSpeeds speeds) {
-    if (!settings.contended() || engineLimits(service).isEmpty()) {
+    boolean plain = state != null && engineLimits(service).isEmpty();
+    if (!settings.contended() || plain) {
       return EnginePlacer.create(rateLimits, paces.placed(), speeds);
     }
     EngineRoom room =
