--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -24,10 +24,16 @@
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.placement.ColdBound;
 import org.arbutusspar.core.placement.ColdReplicas;
+import org.arbutusspar.core.placement.EngineChooser;
+import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.EngineQueue;
+import org.arbutusspar.core.placement.EngineRoom;
 import org.arbutusspar.core.placement.Evacuations;
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
+import org.arbutusspar.core.placement.ReplicaSpeeds;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.EngineLimits;
 import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.routing.ServedService;
 import org.arbutusspar.core.routing.ServingState;
@@ -196,7 +202,14 @@
     crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
     engines =
         new EnginePlacement(
-            peers, peerNetwork, replicas, rateLimits, paces.placed(), loop, blocks, log);
+            peers,
+            peerNetwork,
+            replicas,
+            loop,
+            blocks,
+            log,
+            settings.contended(),
+            this::newEngineChooser);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -328,6 +341,16 @@
         "Requests that may be sent to a service once more now",
         "service",
         () -> snapshot.retriesLeft());
+    metrics.gauges(
+        "arbutusspar_engine_queue_length",
+        "Requests that wait here for room at an engine, of all instances",
+        "service",
+        () -> snapshot.engineQueueLengths());
+    metrics.gauges(
+        "arbutusspar_engine_wait_milliseconds",
+        "Expected wait for room at an engine of a further request",
+        "service",
+        () -> snapshot.engineWaitMillis());
     metrics.gauge(
         "arbutusspar_blocked_prompt_parts",
         "Prompt parts that crashed model engines, whose requests are rejected",
@@ -450,7 +473,8 @@
         .forEach(name -> logEvacuation("evacuation", name, offsets.get(name), records.offset()));
     change.ended().forEach(name -> logEvacuation("evacuation-ended", name, -1, records.offset()));
     // Replicas there may have become cold shortly before, and say so only later.
-    logColdReplicas(coldReplicas.assumeCold(replicas.in(change.ended()), loop.now()), "evacuation");
+    logColdReplicas(
+        coldReplicas.assumeCold(replicas.listedIn(change.ended()), loop.now()), "evacuation");
     onAvailableReplicasChanged();
   }
 
@@ -466,7 +490,7 @@
         "source",
         tables.source(TableName.CONFIGURATION),
         "replicas",
-        replicas.in(Set.of(dataCentre)).size());
+        replicas.listedIn(Set.of(dataCentre)).size());
   }
 
   private void logColdReplicas(ColdReplicas.Change change, String source) {
@@ -625,9 +649,13 @@
 
   /**
    * Returns the share of all known instances for whose requests this one chooses replicas of a
-   * service, 0 if another instance holds that role.
+   * service, 0 if another instance holds that role, or if this one has just started and does not
+   * know the others yet.
    */
   private double decisionShare(String service, long now) {
+    if (tables.table(TableName.INSTANCES).offset() < 0) {
+      return 0;
+    }
     boolean hasPieces = state != null && state.pieceLimits(service).isPresent();
     String role = hasPieces ? service : EnginePlacement.role(service);
     if (!peers.roleHolder(role, now).equals(peers.self().name())) {
@@ -636,6 +664,26 @@
     return (double) peers.liveCount(now) / (peers.all().size() + 1);
   }
 
+  /**
+   * Returns a chooser for a service, with a queue where callers compete for capacity unless the
+   * service is known not to be a model engine.
+   */
+  private EngineChooser newEngineChooser(String service, ReplicaSpeeds speeds) {
+    boolean plain = state != null && engineLimits(service).isEmpty();
+    if (!settings.contended() || plain) {
+      return EnginePlacer.create(rateLimits, paces.placed(), speeds);
+    }
+    EngineRoom room =
+        EngineRoom.ofMemory(() -> engineLimits(service).map(EngineLimits::memoryTokens).orElse(0L));
+    return EngineQueue.create(EnginePlacer.create(rateLimits, paces.placed(), speeds, room));
+  }
+
+  private Optional<EngineLimits> engineLimits(String service) {
+    return Optional.ofNullable(state)
+        .map(current -> current.services().get(service))
+        .flatMap(ServedService::engine);
+  }
+
   /** Copies the state of the loop for gauges, which are read by other threads. */
   private void updateSnapshot() {
     context.contention().ifPresent(contention -> contention.updateWaits(loop.now()));
@@ -650,6 +698,8 @@
             peers.liveCount(loop.now()),
             pieces.waitingPieces(),
             context.retriesLeft(),
+            engines.waiting(),
+            engines.expectedWaitMillis(),
             blocks.blockedParts(),
             blocks.blockedRequests(),
             rateLimits.inForce().size(),
