--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReturnTimes.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReturnTimes.java
@@ -4,11 +4,11 @@
 import org.arbutusspar.core.Nanos;
 
 /**
- * Chooses when clients return that an instance has rejected. All return late enough for any
- * instance to tell them from new requests by the time that they have left, and early enough for
- * clients to comply. Within that window, a client returns when room is expected: those whose
- * response can still be in time first, each at a place of its own in the room that is kept for
- * returns, as far as the rate of that room is known.
+ * Chooses when clients return that an instance has rejected: while their response can still be in
+ * time, and if possible late enough for any instance to tell them from new requests by the time
+ * that they have left, so that it can serve them first. Within that window, each client returns no
+ * sooner than room is expected, at a place of its own in the room that is kept for returns, as far
+ * as the rate of that room is known.
  *
  * <p>Load pattern: a burst whose rejected clients all come back. If they come back together, or
  * before there is room, most are rejected again, which costs a client more than the first time.
@@ -62,26 +62,31 @@
    * @return the time from now, in milliseconds
    */
   public double afterMillis(Rejection rejection, double roomPerSecond, long now) {
+    Window window = window(rejection);
+    if (roomPerSecond > 0) {
+      double place = nextPlaceMillis(window.from(), roomPerSecond, now);
+      if (place <= window.to()) {
+        lastReturnAt = now + Nanos.ofMillis(Math.round(place));
+        started = true;
+        return place;
+      }
+    }
+    return window.from() + rejection.draw() * (window.to() - window.from());
+  }
+
+  private static Window window(Rejection rejection) {
     double left = rejection.remainingMillis();
+    double latestInTime = rejection.latestInTimeMillis();
     double from = MIN_SHARE * left;
     double to = Math.max(MIN_LATEST_MILLIS, MAX_SHARE * left);
-    double latestInTime = rejection.latestInTimeMillis();
     if (from < latestInTime) {
       to = Math.min(to, latestInTime);
     } else if (Math.max(MIN_MILLIS, rejection.roomMillis()) < latestInTime) {
+      // Any later, the response would be late, even if the client were served first.
       from = MIN_MILLIS;
       to = Math.min(IN_TIME_FRACTION * latestInTime, MAX_NEW_SHARE * left);
     }
-    from = Math.min(to, Math.max(from, rejection.roomMillis()));
-    if (roomPerSecond > 0) {
-      double place = nextPlaceMillis(from, roomPerSecond, now);
-      if (place <= to) {
-        lastReturnAt = now + Nanos.ofMillis(Math.round(place));
-        started = true;
-        return place;
-      }
-    }
-    return from + rejection.draw() * (to - from);
+    return new Window(Math.min(to, Math.max(from, rejection.roomMillis())), to);
   }
 
   /** Returns the time until the next free place for a return, at least a minimum. */
@@ -93,6 +98,9 @@
     return Math.max(minMillis, Nanos.toMillis(lastReturnAt - now) + spacing);
   }
 
+  /** First and last time at which a client may return, in milliseconds from now. */
+  private record Window(double from, double to) {}
+
   /**
    * A rejected request.
    *
