Requests of plain services that must not be repeated test no replica for a placer

Cause: requests to plain services whose replicas state work times are chosen by the placer, which did not know whether they may be repeated. A replica that had failed was tested by requests that must run at most once.

Change: EngineRequest says whether the request may test a replica. Requests to engines may, as before.

Conclusion: onlyRequestsThatMayBeRepeatedTestReplicasForPlacer fails without the change.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -143,7 +143,7 @@
             .filter(engine -> permits.isAvailable(engine.replica, now))
             .toList();
     Optional<EngineReplica> best =
-        preferWithinPace(withRoom, now).stream()
+        preferWithinPace(withRoom, request.repeatable(), now).stream()
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
@@ -156,11 +156,16 @@
     return best.map(engine -> engine.replica);
   }
 
-  /** Returns the replicas that are within their pace, or all if none is. */
-  private List<EngineReplica> preferWithinPace(List<EngineReplica> withRoom, long now) {
+  /**
+   * Returns the replicas that are within their pace, or all if none is. A request that must not be
+   * repeated tests no replica.
+   */
+  private List<EngineReplica> preferWithinPace(
+      List<EngineReplica> withRoom, boolean repeatable, long now) {
     List<EngineReplica> withinPace =
         withRoom.stream()
             .filter(engine -> engine.inFlight < pace.limit(engine.replica, now))
+            .filter(engine -> repeatable || !pace.isDoubtful(engine.replica, now))
             .toList();
     return withinPace.isEmpty() ? withRoom : withinPace;
   }
@@ -299,6 +304,7 @@
    *     if it reads any
    * @param inputBytes size of those results in bytes
    * @param excluded identifiers of replicas that must not be chosen
+   * @param repeatable whether it may test a replica that has failed lately
    */
   public record EngineRequest(
       String id,
@@ -309,7 +315,8 @@
       long ownTokens,
       Optional<DataCentre> preferredDataCentre,
       long inputBytes,
-      Collection<String> excluded) {
+      Collection<String> excluded,
+      boolean repeatable) {
 
     /** Checks the components. */
     public EngineRequest {
@@ -319,6 +326,30 @@
       Objects.requireNonNull(preferredDataCentre, "preferredDataCentre");
       Objects.requireNonNull(excluded, "excluded");
     }
+
+    /** Creates a request that may test a replica; see the components of this record. */
+    public EngineRequest(
+        String id,
+        String origin,
+        List<String> sharedParts,
+        long promptKey,
+        long sharedTokens,
+        long ownTokens,
+        Optional<DataCentre> preferredDataCentre,
+        long inputBytes,
+        Collection<String> excluded) {
+      this(
+          id,
+          origin,
+          sharedParts,
+          promptKey,
+          sharedTokens,
+          ownTokens,
+          preferredDataCentre,
+          inputBytes,
+          excluded,
+          true);
+    }
   }
 
   /**
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
@@ -258,6 +258,32 @@
     assertTrue(tests > 0, "never tested");
   }
 
+  /** A placer chooses for plain services whose replicas state how long work takes. */
+  @Test
+  void onlyRequestsThatMayBeRepeatedTestReplicasForPlacer() {
+    List<UpstreamReplica> replicas = List.of(replica(1), replica(2), replica(3));
+    pace.onListed(replicas, 0);
+    EnginePlacer placer = EnginePlacer.create(SendPermits.UNLIMITED, pace, ReplicaSpeeds.EQUAL);
+    placer.replicas(replicas);
+    assertEquals("r1", place(placer, "q", true, Set.of("r2", "r3"), 0));
+    placer.onEnded("q", false, 0);
+    for (int i = 0; i < 8; i++) {
+      assertNotEquals("r1", place(placer, "once" + i, false, Set.of(), SECOND));
+    }
+    assertEquals("r1", place(placer, "again", true, Set.of(), SECOND));
+  }
+
+  private static String place(
+      EnginePlacer placer, String id, boolean repeatable, Set<String> excluded, long now) {
+    return placer
+        .place(
+            new EnginePlacer.EngineRequest(
+                id, "e", List.of(), 0, 0, 0, Optional.empty(), 0, excluded, repeatable),
+            now)
+        .map(UpstreamReplica::id)
+        .orElse("none");
+  }
+
   /** Returns a registry of three replicas, of which the first has failed. */
   private static ReplicaRegistry failedRegistry(ReplicaPace pace) {
     ReplicaRegistry registry = ReplicaRegistry.create(pace);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -323,7 +323,8 @@
         request.ownTokens(),
         context.dataCentreOf(stageResults),
         stageResults.stream().mapToLong(StageResult::bytes).sum(),
-        excludedReplicas());
+        excludedReplicas(),
+        isModelEngine() || route.isRetryable());
   }
 
   /** Returns the replicas that this instance must not send the request to. */
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -458,6 +458,7 @@
     packer.packLong(request.inputBytes());
     packStrings(packer, List.copyOf(request.excluded()));
     packStrings(packer, request.sharedParts());
+    packer.packBoolean(request.repeatable());
   }
 
   private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker)
@@ -482,7 +483,8 @@
         ownTokens,
         preferred,
         inputBytes,
-        excluded);
+        excluded,
+        !unpacker.hasNext() || unpacker.unpackBoolean());
   }
 
   private static TableCopy.Row row(MessageUnpacker unpacker) throws IOException {
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -92,7 +92,7 @@
         new PeerMessage.PlaceRequest(
             "s",
             new EnginePlacer.EngineRequest(
-                "id", "e-1", List.of("p"), 3, 4, 5, Optional.empty(), 6, List.of("r"))));
+                "id", "e-1", List.of("p"), 3, 4, 5, Optional.empty(), 6, List.of("r"), false)));
     assertRoundTrip(
         new PeerMessage.PlacementUpdate("s", "id", PeerMessage.RunState.CRASHED, "request/1f"));
     assertRoundTrip(
