--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/LearnedReplicaPaceTest.java
@@ -280,7 +280,17 @@
     return placer
         .place(
             new EnginePlacer.EngineRequest(
-                id, "e", List.of(), 0, 0, 0, Optional.empty(), 0, excluded, repeatable),
+                id,
+                "e",
+                List.of(),
+                0,
+                0,
+                0,
+                Optional.empty(),
+                0,
+                excluded,
+                repeatable,
+                Optional.empty()),
             now)
         .map(UpstreamReplica::id)
         .orElse("none");
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -12,6 +12,7 @@
 import org.arbutusspar.core.placement.SendVerdict;
 import org.arbutusspar.core.placement.StatedLoad;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.routing.RouteKind;
 import org.arbutusspar.io.http.BodyFraming;
 import org.arbutusspar.io.http.EventStreamPosition;
@@ -33,7 +34,8 @@
 
   /**
    * Maximum number of bytes of a response to buffer. A larger valid response is forwarded part by
-   * part from then on; a larger invalid one is cancelled.
+   * part from then on, as is one that comes while the instance holds too many bytes; a larger
+   * invalid one is cancelled.
    */
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
@@ -60,6 +62,10 @@
   private final ClientExchange exchange;
   private final long startedAt;
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+
+  /** Counts the bytes in the buffer; empty if they need not be counted. */
+  private final Optional<HeldBytes.Hold> bufferHold;
+
   private volatile RawClient.Cancellation cancellation = reason -> {};
   private final AtomicReference<SendPhase> sendPhase = new AtomicReference<>(SendPhase.WAITING);
   private volatile UpstreamResponse response;
@@ -93,6 +99,7 @@
     this.kind = kind;
     this.exchange = exchange;
     this.startedAt = context.loop().now();
+    this.bufferHold = context.heldBytes().map(HeldBytes::newHold);
   }
 
   /**
@@ -154,6 +161,7 @@
   private void markEnded() {
     if (!ended) {
       ended = true;
+      bufferHold.ifPresent(HeldBytes.Hold::close);
       context.replicas().onEnded(replica);
     }
   }
@@ -190,6 +198,9 @@
             load -> {
               context.paces().onLoad(replica, load);
               context.replicas().onReport(replica, load, receivedAt);
+              context
+                  .contention()
+                  .ifPresent(contention -> contention.onReport(replica, load, receivedAt));
             });
   }
 
@@ -215,14 +226,19 @@
 
   private void bufferPart(ByteBuffer part, Runnable acknowledge) {
     buffer.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
-    if (buffer.size() <= MAX_BUFFERED_BYTES) {
+    bufferHold.ifPresent(hold -> hold.add(part.remaining()));
+    boolean tooLarge = buffer.size() > MAX_BUFFERED_BYTES;
+    if (!tooLarge && context.heldBytes().map(HeldBytes::isWithinLimit).orElse(true)) {
       acknowledge.run();
       return;
     }
     boolean forwardable = response.valid() && !cancelled;
     if (forwardable && exchange.startResponse(response.status(), response.fields())) {
       forwarding = true;
+      bufferHold.ifPresent(HeldBytes.Hold::close);
       exchange.writeContent(ByteBuffer.wrap(buffer.toByteArray()), acknowledge);
+    } else if (!tooLarge) {
+      acknowledge.run();
     } else {
       cancellation.cancel("response cannot be forwarded");
     }
@@ -281,14 +297,23 @@
           SendVerdict.FAILED, "status-" + response.status(), Optional.of(buffered));
       return;
     }
-    context
-        .replicas()
-        .onValidResponse(replica, elapsedMillis(), statedLoad(), context.loop().now());
+    reportValidResponse();
     owner.onResponseStarted(response.status());
+    owner.onResponseReceived();
     exchange.respond(buffered.status(), buffered.fields(), ByteBuffer.wrap(buffered.body()));
     owner.onResponseForwarded(buffered.status());
   }
 
+  private void reportValidResponse() {
+    double millis = elapsedMillis();
+    context.replicas().onValidResponse(replica, millis, statedLoad(), context.loop().now());
+    context
+        .contention()
+        .ifPresent(
+            contention ->
+                statedLoad().ifPresent(load -> contention.onValidResponse(replica, millis, load)));
+  }
+
   private void onForwardedToEnd() {
     if (isTruncatedEventStream()) {
       onForwardedInPart(TRUNCATED);
@@ -296,8 +321,11 @@
     }
     logEndOfStream("between-events");
     context.replicas().onValidResponse(replica, elapsedMillis(), context.loop().now());
-    exchange.endResponse();
-    owner.onResponseForwarded(response.status());
+    owner.onResponseReceived();
+    int status = response.status();
+    if (!exchange.endResponse(() -> post(() -> owner.onResponseForwarded(status)))) {
+      owner.onResponseForwarded(status);
+    }
   }
 
   private void onForwardedInPart(String reason) {
@@ -393,6 +421,9 @@
      */
     void onResponseStarted(int status);
 
+    /** Called when the complete response has arrived from the replica. */
+    void onResponseReceived();
+
     /**
      * Called when the complete response has been forwarded to the client.
      *
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.arbutusspar.core.peer.Peer;
 import org.arbutusspar.core.peer.PeerState;
 import org.arbutusspar.core.peer.PeerStatus;
@@ -89,7 +90,8 @@
   record TableData(TableName table, TableCopy copy) implements PeerMessage {}
 
   /**
-   * Requests the placement of a request: the choice of a model engine replica for it.
+   * Requests the placement of a request: the choice of a model engine replica for it. Sent again
+   * while the request waits. On the wire, times are relative to the time of sending.
    *
    * @param service name of the engine's service
    * @param request the request to be placed
@@ -101,8 +103,19 @@
    *
    * @param requestId identifier of the request
    * @param replicaId identifier of the chosen replica; empty if no replica has capacity
+   * @param waiting whether the request waits at the sender, which responds again when it no longer
+   *     does
+   * @param millis expected wait, or if the request is rejected the time after which its client
+   *     should return, in milliseconds; 0 if unknown
    */
-  record PlaceResponse(String requestId, String replicaId) implements PeerMessage {}
+  record PlaceResponse(String requestId, String replicaId, boolean waiting, long millis)
+      implements PeerMessage {
+
+    /** Creates a response to a request that does not wait, without a time. */
+    public PlaceResponse(String requestId, String replicaId) {
+      this(requestId, replicaId, false, 0);
+    }
+  }
 
   /**
    * Reports a state change of a placed request to the placer.
@@ -112,18 +125,21 @@
    * @param state the new state
    * @param subject subject of the request if its connection broke, otherwise the empty string
    * @param observation how long the replica took; empty if it does not state how long work takes
+   * @param statedRequests number of requests at the replica, as that stated; empty if it is not
+   *     known or not needed
    */
   record PlacementUpdate(
       String service,
       String requestId,
       RunState state,
       String subject,
-      Optional<WorkObservation> observation)
+      Optional<WorkObservation> observation,
+      OptionalInt statedRequests)
       implements PeerMessage {
 
-    /** Creates an update without an observation; see the components of this record. */
+    /** Creates an update of a state only; see the components of this record. */
     public PlacementUpdate(String service, String requestId, RunState state, String subject) {
-      this(service, requestId, state, subject, Optional.empty());
+      this(service, requestId, state, subject, Optional.empty(), OptionalInt.empty());
     }
   }
 
