Split the placer's side from the placement of an instance's own requests

Change: EngineChoosers holds what an instance decides as the placer; EnginePlacement asks for the requests of this instance.

--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/EnginePlacement.java
@@ -10,12 +10,9 @@
 import java.util.function.Consumer;
 import org.arbutusspar.core.peer.ActiveRoles;
 import org.arbutusspar.core.peer.PeerTable;
-import org.arbutusspar.core.placement.CrashingPartDetector;
 import org.arbutusspar.core.placement.EngineChooser;
 import org.arbutusspar.core.placement.EngineDecision;
-import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
-import org.arbutusspar.core.placement.ObservedSpeeds;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.ReplicaSpeeds;
 import org.arbutusspar.core.placement.RequestIdentity;
@@ -54,20 +51,6 @@
   /** Interval at which an instance asks again for a request that waits, in milliseconds. */
   private static final long ASK_AGAIN_MILLIS = 200;
 
-  /**
-   * Interval at which a placer looks for room that came free without a message, such as a permit,
-   * while requests wait, in milliseconds.
-   */
-  private static final long SETTLE_INTERVAL_MILLIS = 20;
-
-  private static final double PERCENT = 100;
-
-  /** Ratio by which the lasting speed of a replica must change to be logged again. */
-  private static final double LOGGED_SPEED_RATIO = 1.3;
-
-  /** Maximum number of replicas whose speeds are reported as metrics. */
-  private static final int MAX_REPORTED_SPEEDS = 200;
-
   /** Prefix of a placer's role name; the name of the service follows. */
   private static final String ROLE_PREFIX = "place/";
 
@@ -75,19 +58,9 @@
   private final PeerNetwork peerNetwork;
   private final ReplicaRegistry replicas;
   private final EventLoop loop;
-  private final BlockList blocks;
   private final EventLog log;
   private final boolean contended;
-  private final BiFunction<String, ReplicaSpeeds, EngineChooser> newChooser;
-  private final Map<String, CrashingPartDetector> detectors = new HashMap<>();
-  private final Map<String, EngineChooser> choosers = new HashMap<>();
-
-  /** Speeds of the replicas for whose services this instance is the placer. */
-  private final ObservedSpeeds speeds = ObservedSpeeds.create();
-
-  /** Lasting speeds that were logged last, by identifier of the replica. */
-  private final Map<String, Double> loggedSpeeds = new HashMap<>();
-
+  private final EngineChoosers choosers;
   private final ActiveRoles activeRoles = ActiveRoles.create();
   private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
 
@@ -97,8 +70,6 @@
   /** Receivers of the decisions on requests of this instance that wait here, by identifier. */
   private final Map<String, Consumer<EngineDecision>> waitingHere = new HashMap<>();
 
-  private boolean settleScheduled;
-
   EnginePlacement(
       PeerTable peers,
       PeerNetwork peerNetwork,
@@ -112,10 +83,9 @@
     this.peerNetwork = peerNetwork;
     this.replicas = replicas;
     this.loop = loop;
-    this.blocks = blocks;
     this.log = log;
     this.contended = contended;
-    this.newChooser = newChooser;
+    choosers = new EngineChoosers(replicas, loop, blocks, log, newChooser, this::tell);
   }
 
   /** Returns the name of the role of the placer of a service. */
@@ -130,28 +100,31 @@
 
   /** Passes the changed list of replicas to the placers. */
   void onReplicas() {
-    choosers.forEach((service, chooser) -> chooser.replicas(replicas.notLeaving(service)));
-    List.copyOf(choosers.keySet()).forEach(this::settle);
+    choosers.onReplicas();
   }
 
-  /** Returns whether requests that find no room wait, because callers compete for capacity. */
-  boolean isContended() {
-    return contended;
+  /** Returns what chooses here for the requests of all instances. */
+  EngineChoosers choosers() {
+    return choosers;
   }
 
-  /** Returns the number of requests that wait here, by service. */
-  Map<String, Integer> waiting() {
-    Map<String, Integer> waiting = new HashMap<>();
-    choosers.forEach((service, chooser) -> waiting.put(service, chooser.waiting()));
-    return waiting;
+  /** Logs the lasting speeds of replicas that have changed, for the services placed here. */
+  void logSpeeds() {
+    choosers.logSpeeds(this::isPlacedHere);
+  }
+
+  /** Returns the speeds of replicas in percent by their identifiers, for services placed here. */
+  Map<String, Integer> speedPercents() {
+    return choosers.speedPercents(this::isPlacedHere);
   }
 
-  /** Returns the expected wait of a further request here in milliseconds, by service. */
-  Map<String, Integer> expectedWaitMillis() {
-    Map<String, Integer> waits = new HashMap<>();
-    choosers.forEach(
-        (service, chooser) -> waits.put(service, (int) chooser.expectedWaitMillis(loop.now())));
-    return waits;
+  private boolean isPlacedHere(String service) {
+    return activeRoles().contains(role(service));
+  }
+
+  /** Returns whether requests that find no room wait, because callers compete for capacity. */
+  boolean isContended() {
+    return contended;
   }
 
   /**
@@ -199,7 +172,7 @@
   /** Decides on a request of this instance here, now or when it has waited. */
   private void decideHere(
       String service, EnginePlacer.EngineRequest request, Consumer<EngineDecision> found) {
-    EngineDecision decision = ask(service, request);
+    EngineDecision decision = choosers.ask(service, request);
     if (decision.state() == EngineDecision.State.WAITING) {
       if (waitingHere.put(request.id(), found) == null) {
         logWait(service, request, peers.self().name(), decision.millis());
@@ -209,7 +182,7 @@
       waitingHere.remove(request.id());
       found.accept(decision);
     }
-    settle(service);
+    choosers.settle(service);
   }
 
   private void askAgainHere(
@@ -221,7 +194,7 @@
       decideHere(service, request, found);
     } else {
       waitingHere.remove(request.id());
-      chooser(service).onEnded(request.id(), true, loop.now());
+      choosers.forget(service, request.id());
       find(service, request, found);
     }
   }
@@ -261,39 +234,6 @@
     return placerOfRequest.getOrDefault(requestId, "-");
   }
 
-  private EngineDecision ask(String service, EnginePlacer.EngineRequest request) {
-    if (blocks.findBlocked(request.sharedParts()).isPresent()) {
-      return EngineDecision.rejected(0);
-    }
-    EngineDecision decision = chooser(service).ask(request, loop.now());
-    decision.replica().ifPresent(replica -> onPlaced(service, request, replica));
-    return decision;
-  }
-
-  private void onPlaced(
-      String service, EnginePlacer.EngineRequest request, UpstreamReplica replica) {
-    detector(service).onPlaced(request.id(), request.sharedParts(), replica, loop.now());
-  }
-
-  /** Passes on the decisions on requests that no longer wait here, and looks again later. */
-  private void settle(String service) {
-    EngineChooser chooser = chooser(service);
-    for (EngineChooser.Settled settled : chooser.settle(loop.now())) {
-      settled.decision().replica().ifPresent(r -> onPlaced(service, settled.request(), r));
-      logSettled(service, settled);
-      tell(settled.request(), settled.decision());
-    }
-    if (chooser.waiting() > 0 && !settleScheduled) {
-      settleScheduled = true;
-      loop.after(SETTLE_INTERVAL_MILLIS, this::settleAll);
-    }
-  }
-
-  private void settleAll() {
-    settleScheduled = false;
-    List.copyOf(choosers.keySet()).forEach(this::settle);
-  }
-
   /** Tells the instance that asked for a request how it is decided. */
   private void tell(EnginePlacer.EngineRequest request, EngineDecision decision) {
     if (!request.origin().equals(peers.self().name())) {
@@ -314,40 +254,6 @@
         decision.millis());
   }
 
-  private void logSettled(String service, EngineChooser.Settled settled) {
-    boolean placed = settled.decision().replica().isPresent();
-    log.write(
-        placed ? "placed-after-wait" : "wait-ended",
-        "id",
-        settled.request().id(),
-        "service",
-        service,
-        "reason",
-        settled.reason(),
-        "rank",
-        rank(settled.request()),
-        "origin",
-        settled.request().origin(),
-        "forecast_ms",
-        settled.forecastMillis(),
-        "waited_ms",
-        settled.waitedMillis());
-  }
-
-  private CrashingPartDetector detector(String service) {
-    return detectors.computeIfAbsent(service, name -> CrashingPartDetector.create());
-  }
-
-  private EngineChooser chooser(String service) {
-    return choosers.computeIfAbsent(
-        service,
-        name -> {
-          EngineChooser chooser = newChooser.apply(name, speeds);
-          chooser.replicas(replicas.notLeaving(name));
-          return chooser;
-        });
-  }
-
   /**
    * Reports a state change of a placed request to its placer.
    *
@@ -423,7 +329,7 @@
       stopWaiting(requestId);
     }
     if (placerName.equals(peers.self().name())) {
-      onStateChange(update);
+      choosers.onStateChange(update);
     } else {
       peerNetwork.send(placerName, update);
     }
@@ -439,96 +345,6 @@
     }
   }
 
-  /** Applies a state change to the placer of this instance. */
-  private void onStateChange(PeerMessage.PlacementUpdate update) {
-    String service = update.service();
-    String requestId = update.requestId();
-    PeerMessage.RunState state = update.state();
-    EngineChooser chooser = chooser(service);
-    update
-        .statedRequests()
-        .ifPresent(requests -> chooser.onStatedLoad(requestId, requests, loop.now()));
-    if (state == PeerMessage.RunState.BEGUN) {
-      update.observation().ifPresent(observation -> learnSpeed(service, requestId, observation));
-      chooser.onResponseStarted(requestId, loop.now());
-    } else {
-      boolean failed =
-          state == PeerMessage.RunState.BROKEN || state == PeerMessage.RunState.CRASHED;
-      chooser.onEnded(requestId, !failed, loop.now());
-    }
-    settle(service);
-    CrashingPartDetector detector = detector(service);
-    CrashingPartDetector.Findings findings = findings(detector, update);
-    findings.crashing().forEach(part -> blocks.block(part, detector.crashedReplicas(part)));
-    findings.cleared().forEach(blocks::permit);
-  }
-
-  private void learnSpeed(String service, String requestId, WorkObservation observation) {
-    chooser(service)
-        .workBeforeResponse(requestId)
-        .ifPresent(
-            work -> {
-              speeds.onWork(
-                  work.replica(),
-                  work.expectedMillis(),
-                  observation.responseMillis(),
-                  OptionalInt.of(observation.workPercent()),
-                  loop.now());
-              speeds.onStated(work.replica(), observation.workPercent(), loop.now());
-            });
-  }
-
-  /** Logs the lasting speeds of replicas that have changed, for the services placed here. */
-  void logSpeeds() {
-    List<UpstreamReplica> replicasWithSpeed = replicasWithSpeed();
-    loggedSpeeds.keySet().retainAll(replicasWithSpeed.stream().map(UpstreamReplica::id).toList());
-    for (UpstreamReplica replica : replicasWithSpeed) {
-      double speed = speeds.lastingSpeed(replica, loop.now());
-      double ratio = speed / loggedSpeeds.getOrDefault(replica.id(), 1.0);
-      if (ratio >= LOGGED_SPEED_RATIO || ratio <= 1 / LOGGED_SPEED_RATIO) {
-        loggedSpeeds.put(replica.id(), speed);
-        log.write(
-            "replica-speed",
-            "service",
-            replica.service(),
-            "replica",
-            replica.id(),
-            "percent",
-            Math.round(PERCENT * speed));
-      }
-    }
-  }
-
-  /** Returns the speeds of replicas in percent by their identifiers, for services placed here. */
-  Map<String, Integer> speedPercents() {
-    Map<String, Integer> percents = new HashMap<>();
-    for (UpstreamReplica replica : replicasWithSpeed()) {
-      double speed = speeds.relativeSpeed(replica, loop.now());
-      percents.put(replica.id(), (int) Math.round(PERCENT * speed));
-    }
-    return percents;
-  }
-
-  private List<UpstreamReplica> replicasWithSpeed() {
-    Set<String> roles = activeRoles();
-    return choosers.keySet().stream()
-        .filter(service -> roles.contains(role(service)) && speeds.isStated(service))
-        .flatMap(service -> replicas.notLeaving(service).stream())
-        .limit(MAX_REPORTED_SPEEDS)
-        .toList();
-  }
-
-  private CrashingPartDetector.Findings findings(
-      CrashingPartDetector detector, PeerMessage.PlacementUpdate update) {
-    String requestId = update.requestId();
-    return switch (update.state()) {
-      case BEGUN -> detector.onResponseStarted(requestId, loop.now());
-      case COMPLETED -> detector.onCompleted(requestId, loop.now());
-      case CRASHED -> detector.onBroken(requestId, update.subject(), loop.now());
-      case ENDED, BROKEN -> detector.onEnded(requestId);
-    };
-  }
-
   /**
    * Handles a message from a peer. Messages that do not concern placement are ignored.
    *
@@ -538,12 +354,13 @@
   void onMessage(String name, PeerMessage message) {
     if (message instanceof PeerMessage.PlaceRequest place) {
       activeRoles.markUsed(role(place.service()), loop.now());
-      peerNetwork.send(name, response(place.request().id(), ask(place.service(), place.request())));
-      settle(place.service());
+      EngineDecision decision = choosers.ask(place.service(), place.request());
+      peerNetwork.send(name, response(place.request().id(), decision));
+      choosers.settle(place.service());
     } else if (message instanceof PeerMessage.PlaceResponse response) {
       onResponse(name, response);
     } else if (message instanceof PeerMessage.PlacementUpdate update) {
-      onStateChange(update);
+      choosers.onStateChange(update);
     }
   }
 
@@ -578,17 +395,13 @@
         "service",
         service,
         "rank",
-        rank(request),
+        EngineChoosers.rank(request),
         "placer",
         placerName,
         "forecast_ms",
         waitMillis);
   }
 
-  private static int rank(EnginePlacer.EngineRequest request) {
-    return request.demand().map(EngineDemand::rank).orElse(0);
-  }
-
   /**
    * Handles the loss of the connection to a peer: its requests no longer count as in flight, and
    * requests that wait there are decided anew.
@@ -596,8 +409,7 @@
    * @param name name of the peer, not null
    */
   void onDown(String name) {
-    choosers.values().forEach(chooser -> chooser.removeOrigin(name, loop.now()));
-    List.copyOf(choosers.keySet()).forEach(this::settle);
+    choosers.removeOrigin(name);
     List.copyOf(pendingRequests.values()).stream()
         .filter(pending -> pending.waiting && pending.placerName.equals(name))
         .forEach(this::decideAnew);
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -347,8 +347,13 @@
   }
 
   private void onDecision(EngineDecision decision) {
+    Optional<BlockDecision> blocked =
+        context.engines().isContended() ? findBlocked() : Optional.empty();
     if (!ended && decision.millis() > 0) {
       failUntilRoom(decision.millis() / MILLIS_PER_SECOND);
+    } else if (!ended && blocked.isPresent()) {
+      // The request was blocked while it waited.
+      failBlocked(blocked.get());
     } else {
       sendOrFail(decision.replica());
     }
