--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/GatewayRig.java
@@ -56,9 +56,12 @@
   ReplicaStandin worker;
   RawClient client;
 
-  /** Whether callers compete for capacity in the deployment of instances started from now on. */
+  /** Whether the instances are started with the rules on callers that compete for capacity. */
   boolean contended;
 
+  /** Memory limit in the settings of the instances, in bytes. */
+  long memoryBytes = 256_000_000;
+
   /** A running instance with its settings, which hold its endpoints. */
   record Instance(Gateway gateway, PlatformSettings settings) {}
 
@@ -120,7 +123,7 @@
             seeds,
             storeEndpoint,
             100,
-            256_000_000,
+            memoryBytes,
             contended,
             new PlatformSettings.Bounds(shutdownMillis, 0.2, 10_000, 50, 5_000, 1.5, 5));
     return new Instance(closeAfterTest(Gateway.start(settings)), settings);
