--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -158,7 +158,7 @@
             .filter(engine -> permits.isAvailable(engine.replica, now))
             .toList();
     Optional<EngineReplica> best =
-        preferWithinPace(withRoom, now).stream()
+        preferWithinPace(withRoom, request.repeatable(), now).stream()
             .min(
                 Comparator.comparingDouble(
                         (EngineReplica engine) ->
@@ -249,11 +249,16 @@
         .anyMatch(idle -> room.admits(idle, request.memoryTokens(), 0));
   }
 
-  /** Returns the replicas that are within their pace, or all if none is. */
-  private List<EngineReplica> preferWithinPace(List<EngineReplica> withRoom, long now) {
+  /**
+   * Returns the replicas that are within their pace, or all if none is. A request that must not be
+   * repeated tests no replica.
+   */
+  private List<EngineReplica> preferWithinPace(
+      List<EngineReplica> withRoom, boolean repeatable, long now) {
     List<EngineReplica> withinPace =
         withRoom.stream()
             .filter(engine -> engine.inFlight < pace.limit(engine.replica, now))
+            .filter(engine -> repeatable || !pace.isDoubtful(engine.replica, now))
             .toList();
     return withinPace.isEmpty() ? withRoom : withinPace;
   }
@@ -396,6 +401,7 @@
    *     if it reads any
    * @param inputBytes size of those results in bytes
    * @param excluded identifiers of replicas that must not be chosen
+   * @param repeatable whether it may test a replica that has failed lately
    * @param demand what the request needs, and by when; empty if callers do not compete
    */
   public record EngineRequest(
@@ -408,6 +414,7 @@
       Optional<DataCentre> preferredDataCentre,
       long inputBytes,
       Collection<String> excluded,
+      boolean repeatable,
       Optional<EngineDemand> demand) {
 
     /** Checks the components. */
@@ -420,7 +427,7 @@
       Objects.requireNonNull(demand, "demand");
     }
 
-    /** Creates a request without a demand; see the components of this record. */
+    /** Creates a request without a demand that may test a replica; see the components above. */
     public EngineRequest(
         String id,
         String origin,
@@ -441,6 +448,7 @@
           preferredDataCentre,
           inputBytes,
           excluded,
+          true,
           Optional.empty());
     }
 
@@ -461,6 +469,7 @@
           preferredDataCentre,
           inputBytes,
           newExcluded,
+          repeatable,
           demand);
     }
   }
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueReplay.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueReplay.java
@@ -204,6 +204,7 @@
         Optional.empty(),
         0,
         List.of(),
+        true,
         Optional.of(demand));
   }
 
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
@@ -53,7 +53,17 @@
 
   private static EnginePlacer.EngineRequest request(String id, long tokens, EngineDemand demand) {
     return new EnginePlacer.EngineRequest(
-        id, "e-1", List.of(), 0, 0, tokens, Optional.empty(), 0, List.of(), Optional.of(demand));
+        id,
+        "e-1",
+        List.of(),
+        0,
+        0,
+        tokens,
+        Optional.empty(),
+        0,
+        List.of(),
+        true,
+        Optional.of(demand));
   }
 
   private static long millis(long millis) {
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ServedRequest.java
@@ -371,7 +371,7 @@
       context
           .engines()
           .find(service, engineRequest(), decision -> runStep(() -> onDecision(decision)));
-    } else if (context.replicas().statesWorkTime(service)) {
+    } else if (context.replicas().statesWorkTime(service) && !context.engines().isContended()) {
       context
           .engines()
           .find(
@@ -394,6 +394,7 @@
         context.dataCentreOf(stageResults),
         stageResults.stream().mapToLong(StageResult::bytes).sum(),
         excludedReplicas(),
+        isModelEngine() || route.isRetryable(),
         context.engines().isContended() ? Optional.of(engineDemand()) : Optional.empty());
   }
 
@@ -415,8 +416,13 @@
   }
 
   private void onDecision(EngineDecision decision) {
+    Optional<BlockDecision> blocked =
+        context.engines().isContended() ? findBlocked() : Optional.empty();
     if (!ended && decision.millis() > 0) {
       failUntilRoom(decision.millis() / MILLIS_PER_SECOND);
+    } else if (!ended && blocked.isPresent()) {
+      // The request was blocked while it waited.
+      failBlocked(blocked.get());
     } else {
       sendOrFail(decision.replica());
     }
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -488,6 +488,7 @@
     packer.packLong(request.inputBytes());
     packStrings(packer, List.copyOf(request.excluded()));
     packStrings(packer, request.sharedParts());
+    packer.packBoolean(request.repeatable());
     if (request.demand().isPresent()) {
       packDemand(packer, request.demand().get(), now);
     }
@@ -526,6 +527,7 @@
     // Instances of the version before do not send the parts.
     List<String> sharedParts =
         unpacker.hasNext() ? list(unpacker, MessageUnpacker::unpackString) : List.of();
+    boolean repeatable = !unpacker.hasNext() || unpacker.unpackBoolean();
     Optional<EngineDemand> demand =
         unpacker.hasNext() ? Optional.of(demand(unpacker, now)) : Optional.empty();
     return new EnginePlacer.EngineRequest(
@@ -538,6 +540,7 @@
         preferred,
         inputBytes,
         excluded,
+        repeatable,
         demand);
   }
 
--- a/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
+++ b/arbutusspar-io/src/test/java/org/arbutusspar/io/link/PeerCodecTest.java
@@ -94,7 +94,17 @@
         new PeerMessage.PlaceRequest(
             "s",
             new EnginePlacer.EngineRequest(
-                "id", "e-1", List.of("p"), 3, 4, 5, Optional.empty(), 6, List.of("r"))));
+                "id",
+                "e-1",
+                List.of("p"),
+                3,
+                4,
+                5,
+                Optional.empty(),
+                6,
+                List.of("r"),
+                false,
+                Optional.empty())));
     assertRoundTrip(
         new PeerMessage.PlaceRequest(
             "s",
@@ -108,6 +118,7 @@
                 Optional.empty(),
                 6,
                 List.of("r"),
+                true,
                 Optional.of(new EngineDemand("k", "w", 2, 7, 300, 900, true, false)))));
     assertRoundTrip(new PeerMessage.PlaceResponse("id", "i-1"));
     assertRoundTrip(new PeerMessage.PlaceResponse("id", "", true, 30));
