--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ReplicaRegistry.java
@@ -7,7 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.arbutusspar.core.balancing.Endpoint;
@@ -31,10 +33,22 @@
    */
   private static final double MAX_COOLING_DOWN_SHARE = 0.5;
 
+  /** Expected response time; the requests of a service are taken for equal. */
+  private static final double EXPECTED_MILLIS = 1;
+
+  /**
+   * Smallest share of the speed of the fastest replica at which another one is taken for equally
+   * fast. Instances that choose alone thus avoid slow replicas, but do not all rush to the one that
+   * was the fastest a moment ago.
+   */
+  private static final double SIMILAR_SPEED_SHARE = 0.6;
+
+  private final ObservedSpeeds speeds = ObservedSpeeds.create();
   private Map<String, List<UpstreamReplica>> byService = Map.of();
   private Map<String, UpstreamReplica> byId = Map.of();
   private Map<Endpoint, UpstreamReplica> byEndpoint = Map.of();
   private final Map<String, ReplicaLoad> loads = new HashMap<>();
+  private final ReplicaPace pace;
   private final ReplicaAvailability availability = ReplicaAvailability.create();
   private Collection<UpstreamReplica> lastListed = List.of();
 
@@ -46,11 +60,23 @@
   /** Identifiers of replicas that are not leaving, in evacuated data centres, by service. */
   private Map<String, Set<String>> evacuated = Map.of();
 
-  private ReplicaRegistry() {}
+  private ReplicaRegistry(ReplicaPace pace) {
+    this.pace = pace;
+  }
 
-  /** Returns a registry without replicas. */
+  /** Returns a registry without replicas that paces none. */
   public static ReplicaRegistry create() {
-    return new ReplicaRegistry();
+    return create(ReplicaPace.NONE);
+  }
+
+  /**
+   * Returns a registry without replicas.
+   *
+   * @param pace pace of replicas that start or recover, not null
+   * @return the registry
+   */
+  public static ReplicaRegistry create(ReplicaPace pace) {
+    return new ReplicaRegistry(Objects.requireNonNull(pace, "pace"));
   }
 
   /**
@@ -183,6 +209,11 @@
     return byId.values().stream().filter(replica -> !ids.contains(replica.id())).toList();
   }
 
+  /** Returns what {@link #notLeaving(String)} returns for all services together. */
+  public List<UpstreamReplica> notLeaving() {
+    return byService.values().stream().flatMap(List::stream).toList();
+  }
+
   /**
    * Returns the listed replicas of a service that are not leaving, cooling down or not, except
    * those in evacuated data centres.
@@ -273,6 +304,17 @@
         : OptionalLong.of(0);
   }
 
+  /**
+   * Returns whether replicas of a service state how long work takes. One instance then chooses for
+   * all, since such figures are too old by the time of the next request of a single instance.
+   *
+   * @param service name of the service, not null
+   * @return true once one of them has
+   */
+  public boolean statesWorkTime(String service) {
+    return speeds.isStated(service);
+  }
+
   /**
    * Chooses a replica for a request from those with free capacity.
    *
@@ -282,6 +324,20 @@
    * @return the replica, or empty if every permitted replica is at capacity
    */
   public Optional<UpstreamReplica> choose(PlacementRequest request, Placement placement, long now) {
+    return choose(request, placement, QUEUE_PER_SLOT, now);
+  }
+
+  /**
+   * Chooses a replica for a request from those whose queue is short enough.
+   *
+   * @param request properties of the request, not null
+   * @param placement policy that chooses among the candidates, not null
+   * @param queuePerSlot number of queued requests for each slot at which a replica is at capacity
+   * @param now current monotonic time, in nanoseconds
+   * @return the replica, or empty if every permitted replica is at capacity
+   */
+  public Optional<UpstreamReplica> choose(
+      PlacementRequest request, Placement placement, double queuePerSlot, long now) {
     List<UpstreamReplica> listed =
         notLeaving(request.service()).stream()
             .filter(replica -> !request.excluded().contains(replica.id()))
@@ -290,26 +346,57 @@
     List<UpstreamReplica> healthy =
         listed.stream().filter(replica -> !load(replica).isCoolingDown(now)).toList();
     boolean enoughHealthy = healthy.size() >= listed.size() * (1 - MAX_COOLING_DOWN_SHARE);
-    List<Placement.Candidate> candidates =
+    List<UpstreamReplica> withRoom =
         (enoughHealthy ? healthy : listed)
             .stream()
-                .filter(replica -> hasCapacity(replica, now))
-                .map(replica -> candidate(replica, now))
+                .filter(replica -> hasCapacity(replica, queuePerSlot, now))
+                .filter(replica -> load(replica).estimate(now) < pace.maxLimit(replica, now))
                 .toList();
-    return placement.choose(request, candidates).map(Placement.Candidate::replica);
+    double fastest =
+        listed.stream().mapToDouble(each -> speeds.relativeSpeed(each, now)).max().orElse(1);
+    List<Placement.Candidate> candidates =
+        preferWithinPace(withRoom, request.repeatable(), now).stream()
+            .map(replica -> candidate(replica, fastest, now))
+            .toList();
+    Optional<UpstreamReplica> chosen =
+        placement.choose(request, candidates).map(Placement.Candidate::replica);
+    chosen.ifPresent(replica -> pace.onChosen(replica, now));
+    return chosen;
   }
 
-  private boolean hasCapacity(UpstreamReplica replica, long now) {
-    double capacity = Math.max(1, replica.slots()) * (1 + QUEUE_PER_SLOT);
+  /**
+   * Returns the replicas that are within their pace, or all if none is. A request that must not be
+   * repeated tests no replica.
+   */
+  private List<UpstreamReplica> preferWithinPace(
+      List<UpstreamReplica> withRoom, boolean repeatable, long now) {
+    List<UpstreamReplica> withinPace =
+        withRoom.stream()
+            .filter(replica -> load(replica).estimate(now) < pace.limit(replica, now))
+            .filter(replica -> repeatable || !pace.isDoubtful(replica, now))
+            .toList();
+    return withinPace.isEmpty() ? withRoom : withinPace;
+  }
+
+  private boolean hasCapacity(UpstreamReplica replica, double queuePerSlot, long now) {
+    double capacity = Math.max(1, replica.slots()) * (1 + queuePerSlot);
     return load(replica).estimate(now) < capacity;
   }
 
-  private Placement.Candidate candidate(UpstreamReplica replica, long now) {
+  private Placement.Candidate candidate(UpstreamReplica replica, double fastest, long now) {
     ReplicaLoad load = load(replica);
-    double cost = relativeTime(replica) * (1 + FAILURE_COST_FACTOR * load.failureShare());
+    double time =
+        speeds.isStated(replica.service())
+            ? timeBySpeed(speeds.relativeSpeed(replica, now) / fastest)
+            : relativeTime(replica);
+    double cost = time * (1 + FAILURE_COST_FACTOR * load.failureShare());
     return new Placement.Candidate(replica, load.estimate(now), cost);
   }
 
+  private static double timeBySpeed(double shareOfFastest) {
+    return shareOfFastest >= SIMILAR_SPEED_SHARE ? 1 : 1 / shareOfFastest;
+  }
+
   /**
    * Returns the mean response time of a replica relative to the mean of its service, at least 0.5;
    * 1 if one of them is unknown.
@@ -343,11 +430,12 @@
    * Records a load report of a replica.
    *
    * @param replica the replica, not null
-   * @param runningAndWaiting number of running and waiting requests at the replica
+   * @param stated the load that it states, not null
    * @param now current monotonic time, in nanoseconds
    */
-  public void onReport(UpstreamReplica replica, int runningAndWaiting, long now) {
-    load(replica).onReport(runningAndWaiting, now);
+  public void onReport(UpstreamReplica replica, StatedLoad stated, long now) {
+    load(replica).onReport(stated.runningAndWaiting(), now);
+    stated.workPercent().ifPresent(percent -> speeds.onStated(replica, percent, now));
   }
 
   /**
@@ -355,9 +443,29 @@
    *
    * @param replica the replica, not null
    * @param millis response time in milliseconds
+   * @param now current monotonic time, in nanoseconds
    */
-  public void onValidResponse(UpstreamReplica replica, double millis) {
+  public void onValidResponse(UpstreamReplica replica, double millis, long now) {
     load(replica).onValidResponse(millis);
+    pace.onResponse(replica, millis, EXPECTED_MILLIS, now);
+  }
+
+  /**
+   * Counts a valid response to a request whose time depends on the replica more than on the
+   * request.
+   *
+   * @param replica the replica, not null
+   * @param millis response time in milliseconds
+   * @param stated load that the replica states in the response, empty if it states none
+   * @param now current monotonic time, in nanoseconds
+   */
+  public void onValidResponse(
+      UpstreamReplica replica, double millis, Optional<StatedLoad> stated, long now) {
+    onValidResponse(replica, millis, now);
+    stated
+        .map(StatedLoad::workPercent)
+        .filter(OptionalInt::isPresent)
+        .ifPresent(percent -> speeds.onWork(replica, 1, millis, percent, now));
   }
 
   /** Counts a response that reports a failure of the request at the replica. */
@@ -366,12 +474,15 @@
   }
 
   /**
-   * Counts a request that could not be sent or got no valid response, and starts a cooldown.
+   * Counts a request that could not be sent or got no valid response, and starts a cooldown unless
+   * the replica is paced, which bounds its requests instead.
    *
    * @param replica the replica, not null
    * @param now current monotonic time, in nanoseconds
    */
   public void onNoResponse(UpstreamReplica replica, long now) {
-    load(replica).onNoResponse(now);
+    if (!pace.onFailure(replica, now, now)) {
+      load(replica).onNoResponse(now);
+    }
   }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -24,10 +24,17 @@
 import org.arbutusspar.core.peer.TableName;
 import org.arbutusspar.core.placement.ColdBound;
 import org.arbutusspar.core.placement.ColdReplicas;
+import org.arbutusspar.core.placement.EngineChooser;
+import org.arbutusspar.core.placement.EnginePlacer;
+import org.arbutusspar.core.placement.EngineQueue;
+import org.arbutusspar.core.placement.EngineRoom;
 import org.arbutusspar.core.placement.Evacuations;
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
+import org.arbutusspar.core.placement.ReplicaSpeeds;
 import org.arbutusspar.core.placement.UpstreamReplica;
+import org.arbutusspar.core.routing.EngineLimits;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.routing.ServedService;
 import org.arbutusspar.core.routing.ServingState;
 import org.arbutusspar.core.routing.ShutdownAdmission;
@@ -114,6 +121,9 @@
   /** Minimum time that a task waits for the event loop to be logged, in milliseconds. */
   private static final long MIN_LOGGED_LAG_MILLIS = 200;
 
+  /** Maximum share of the memory that holds bytes for clients and replicas. */
+  private static final double HELD_SHARE = 0.25;
+
   private final PlatformSettings settings;
   private final EventLog log = EventLog.create(LOG_LINES_PER_SECOND);
   private final GatewayMetrics metrics = GatewayMetrics.create();
@@ -124,6 +134,7 @@
   private final StreamHost host;
   private final PeerTable peers;
   private final PeerNetwork peerNetwork;
+  private final ReplicaPaces paces = ReplicaPaces.create(loop, log);
   private final ReplicaRegistry replicas;
   private final ColdReplicas coldReplicas = ColdReplicas.create();
   private final ReplicaRateLimits rateLimits;
@@ -139,6 +150,9 @@
   private final BlockPublisher blockPublisher;
   private boolean statusUpdateScheduled;
 
+  /** Whether requests with a body are rejected for lack of memory, as of the last tick. */
+  private boolean rejectsBodies;
+
   /** Whether the announcement of this instance has been stored, as far as is known. */
   private boolean announced;
 
@@ -147,6 +161,9 @@
   private volatile boolean ready;
   private volatile StateSnapshot snapshot = StateSnapshot.NONE;
 
+  /** Speeds of the replicas whose requests are placed here, in percent by identifier. */
+  private volatile Map<String, Integer> replicaSpeeds = Map.of();
+
   /** Time that a task waited last for the event loop, in milliseconds. */
   private volatile long loopLagMillis;
 
@@ -174,7 +191,7 @@
             settings.capacity());
     peers = PeerTable.create(self, HubTopology.create());
     peerNetwork = PeerNetwork.create(peers, loop, log, settings.seeds(), new PeerEvents());
-    replicas = ReplicaRegistry.create();
+    replicas = ReplicaRegistry.create(paces.chosenAlone());
     ColdBound coldBound =
         new ColdBound(settings.bounds().coldRatio(), settings.bounds().coldAllowance());
     rateLimits = ReplicaRateLimits.create(this::decisionShare, coldReplicas, coldBound);
@@ -183,7 +200,16 @@
     blockPublisher = BlockPublisher.create(peerNetwork, store, loop, log);
     blocks = BlockList.create(System::currentTimeMillis, log, blockPublisher);
     crashes = CrashingRequestGuard.create(blocks, peerNetwork, loop, log);
-    engines = new EnginePlacement(peers, peerNetwork, replicas, rateLimits, loop, blocks);
+    engines =
+        new EnginePlacement(
+            peers,
+            peerNetwork,
+            replicas,
+            loop,
+            blocks,
+            log,
+            settings.contended(),
+            this::newEngineChooser);
     pieces =
         new PieceDispatcher(
             peers, peerNetwork, replicas, rateLimits, announcements, client, loop, log);
@@ -194,6 +220,7 @@
             client,
             replicas,
             rateLimits,
+            paces,
             announcements,
             engines,
             blocks,
@@ -201,6 +228,10 @@
             pieces,
             peers,
             settings.bounds(),
+            settings.contended()
+                ? Optional.of(ContendedServices.create(replicas, peers))
+                : Optional.empty(),
+            settings.contended() ? Optional.of(createHeldBytes(settings)) : Optional.empty(),
             log,
             metrics);
     clients = new ClientHandler(context);
@@ -230,6 +261,11 @@
     return gateway;
   }
 
+  private static HeldBytes createHeldBytes(PlatformSettings settings) {
+    long memoryBytes = Math.min(settings.memoryBytes(), Runtime.getRuntime().maxMemory());
+    return HeldBytes.create(Math.max(1, (long) (HELD_SHARE * memoryBytes)));
+  }
+
   private void open() {
     log.write(
         "start",
@@ -283,11 +319,38 @@
         "Expected wait of a new piece, for each service gathered here",
         "service",
         () -> snapshot.queueWaitMillis());
+    context
+        .contention()
+        .ifPresent(
+            contention ->
+                metrics.gauges(
+                    "arbutusspar_service_wait_milliseconds",
+                    "Expected wait for a slot of a service whose replicas queue requests",
+                    "service",
+                    contention::waitsMillis));
+    context
+        .heldBytes()
+        .ifPresent(
+            held ->
+                metrics.gauge(
+                    "arbutusspar_held_bytes",
+                    "Bytes of requests and responses that are held for clients and replicas",
+                    held::bytes));
     metrics.gauges(
         "arbutusspar_repeats_left",
         "Requests that may be sent to a service once more now",
         "service",
         () -> snapshot.retriesLeft());
+    metrics.gauges(
+        "arbutusspar_engine_queue_length",
+        "Requests that wait here for room at an engine, of all instances",
+        "service",
+        () -> snapshot.engineQueueLengths());
+    metrics.gauges(
+        "arbutusspar_engine_wait_milliseconds",
+        "Expected wait for room at an engine of a further request",
+        "service",
+        () -> snapshot.engineWaitMillis());
     metrics.gauge(
         "arbutusspar_blocked_prompt_parts",
         "Prompt parts that crashed model engines, whose requests are rejected",
@@ -300,6 +363,11 @@
         "arbutusspar_limited_replicas",
         "Replicas that limit the rate of the requests of all instances together",
         () -> snapshot.limitedReplicas());
+    metrics.gauges(
+        "arbutusspar_paced_replicas",
+        "Replicas that have started or failed lately and get few requests from this instance",
+        "service",
+        () -> snapshot.pacedReplicas());
     metrics.gauge(
         "arbutusspar_cold_replicas",
         "Replicas that are cold, for which requests are limited",
@@ -309,6 +377,11 @@
         "Time since this instance learned of the evacuation of a data centre",
         "data_centre",
         () -> snapshot.evacuatedSeconds());
+    metrics.gauges(
+        "arbutusspar_replica_speed_percent",
+        "Speed of each replica relative to its service, at the instance that places its requests",
+        "replica",
+        () -> replicaSpeeds);
     metrics.gauge(
         "arbutusspar_configuration_behind_milliseconds",
         "Time for which a live peer has had changes of the configuration that this instance lacks",
@@ -472,6 +545,7 @@
     host.headerTimeoutMillis(newState.limits().headerMillis());
     host.idleTimeoutMillis(newState.limits().idleMillis());
     logColdReplicas(coldReplicas.warmUps(warmUps(newState), loop.now()), "configuration");
+    paces.onState(newState);
     pieces.onState(newState);
     clients.state(newState);
     ready = !leaving;
@@ -515,6 +589,7 @@
   }
 
   private void onAvailableReplicasChanged() {
+    paces.onReplicas(replicas.notLeaving());
     engines.onReplicas();
     pieces.onReplicas();
   }
@@ -589,8 +664,30 @@
     return (double) peers.liveCount(now) / (peers.all().size() + 1);
   }
 
+  /**
+   * Returns a chooser for a service, with a queue where callers compete for capacity unless the
+   * service is known not to be a model engine.
+   */
+  private EngineChooser newEngineChooser(String service, ReplicaSpeeds speeds) {
+    boolean plain = state != null && engineLimits(service).isEmpty();
+    if (!settings.contended() || plain) {
+      return EnginePlacer.create(rateLimits, paces.placed(), speeds);
+    }
+    EngineRoom room =
+        EngineRoom.ofMemory(() -> engineLimits(service).map(EngineLimits::memoryTokens).orElse(0L));
+    return EngineQueue.create(EnginePlacer.create(rateLimits, paces.placed(), speeds, room));
+  }
+
+  private Optional<EngineLimits> engineLimits(String service) {
+    return Optional.ofNullable(state)
+        .map(current -> current.services().get(service))
+        .flatMap(ServedService::engine);
+  }
+
   /** Copies the state of the loop for gauges, which are read by other threads. */
   private void updateSnapshot() {
+    context.contention().ifPresent(contention -> contention.updateWaits(loop.now()));
+    context.heldBytes().ifPresent(this::logHeldBytes);
     Map<String, Integer> waits = new HashMap<>();
     peers.ownStatus().waits().forEach((service, wait) -> waits.put(service, wait.millis(false)));
     snapshot =
@@ -601,14 +698,32 @@
             peers.liveCount(loop.now()),
             pieces.waitingPieces(),
             context.retriesLeft(),
+            engines.waiting(),
+            engines.expectedWaitMillis(),
             blocks.blockedParts(),
             blocks.blockedRequests(),
             rateLimits.inForce().size(),
             coldReplicas.count(),
             evacuatedSeconds(),
+            paces.countByService(),
             tables.behindMillis(TableName.CONFIGURATION));
   }
 
+  /** Logs when requests with a body begin or cease to be rejected for lack of memory. */
+  private void logHeldBytes(HeldBytes held) {
+    if (held.permitsBody() == rejectsBodies) {
+      rejectsBodies = !held.permitsBody();
+      log.write(
+          "held-bytes",
+          "bytes",
+          held.bytes(),
+          "max",
+          held.maxBytes(),
+          "rejects_bodies",
+          rejectsBodies);
+    }
+  }
+
   private Map<String, Integer> evacuatedSeconds() {
     Map<String, Integer> seconds = new HashMap<>();
     evacuations
@@ -800,6 +915,8 @@
       updateStatus();
       logColdReplicas(coldReplicas.update(loop.now()), "time");
       updateSnapshot();
+      replicaSpeeds = engines.speedPercents();
+      engines.logSpeeds();
       measureLoopLag();
     }
   }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/RequestContext.java
@@ -12,6 +12,7 @@
 import org.arbutusspar.core.placement.ReplicaRateLimits;
 import org.arbutusspar.core.placement.ReplicaRegistry;
 import org.arbutusspar.core.placement.WindowedRetryBudget;
+import org.arbutusspar.core.routing.HeldBytes;
 import org.arbutusspar.core.stage.ClientRetryDetector;
 import org.arbutusspar.core.stage.ForecastCorrection;
 import org.arbutusspar.core.stage.StageResult;
@@ -27,6 +28,7 @@
  * @param client sends requests to replicas
  * @param replicas the listed replicas and their load
  * @param rateLimits limits on the request rate that replicas have stated
+ * @param paces paces of the replicas that start or recover
  * @param announcements applies what replicas announce about themselves
  * @param engines places requests at replicas of model engines
  * @param blocks blocks requests whose content crashes replicas
@@ -34,6 +36,9 @@
  * @param pieces dispatches the pieces of stages to their batchers
  * @param peers this instance and its peers
  * @param bounds time limits and retry budget settings
+ * @param contention limits of services whose callers compete for capacity; empty on deployments
+ *     without rules for that
+ * @param heldBytes counts what is held for clients and replicas; empty on the same deployments
  * @param retryBudgets retry budgets by service
  * @param forecastCorrections corrections of the forecast stage times, by route
  * @param retryDetectors detectors of client retries, by route
@@ -45,6 +50,7 @@
     RawClient client,
     ReplicaRegistry replicas,
     ReplicaRateLimits rateLimits,
+    ReplicaPaces paces,
     ReplicaAnnouncements announcements,
     EnginePlacement engines,
     BlockList blocks,
@@ -52,6 +58,8 @@
     PieceDispatcher pieces,
     PeerTable peers,
     PlatformSettings.Bounds bounds,
+    Optional<ContendedServices> contention,
+    Optional<HeldBytes> heldBytes,
     Map<String, WindowedRetryBudget> retryBudgets,
     Map<String, ForecastCorrection> forecastCorrections,
     Map<String, ClientRetryDetector> retryDetectors,
@@ -66,6 +74,7 @@
       RawClient client,
       ReplicaRegistry replicas,
       ReplicaRateLimits rateLimits,
+      ReplicaPaces paces,
       ReplicaAnnouncements announcements,
       EnginePlacement engines,
       BlockList blocks,
@@ -73,6 +82,8 @@
       PieceDispatcher pieces,
       PeerTable peers,
       PlatformSettings.Bounds bounds,
+      Optional<ContendedServices> contention,
+      Optional<HeldBytes> heldBytes,
       EventLog log,
       GatewayMetrics metrics) {
     return new RequestContext(
@@ -80,6 +91,7 @@
         client,
         replicas,
         rateLimits,
+        paces,
         announcements,
         engines,
         blocks,
@@ -87,6 +99,8 @@
         pieces,
         peers,
         bounds,
+        contention,
+        heldBytes,
         new HashMap<>(),
         new HashMap<>(),
         new HashMap<>(),
--- a/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
+++ b/arbutusspar-io/src/main/java/org/arbutusspar/io/link/PeerCodec.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.arbutusspar.core.balancing.Endpoint;
 import org.arbutusspar.core.id.DataCentre;
@@ -19,8 +20,10 @@
 import org.arbutusspar.core.peer.TableVersion;
 import org.arbutusspar.core.placement.BlockDecision;
 import org.arbutusspar.core.placement.CrashReport;
+import org.arbutusspar.core.placement.EngineDemand;
 import org.arbutusspar.core.placement.EnginePlacer;
 import org.arbutusspar.core.placement.StatedLimit;
+import org.arbutusspar.core.placement.WorkObservation;
 import org.arbutusspar.core.stage.Piece;
 import org.arbutusspar.core.stage.PieceId;
 import org.arbutusspar.core.stage.PieceOutcome;
@@ -38,8 +41,8 @@
  * order.
  *
  * <p>The clocks of instances are not synchronized. The encoder therefore writes times of pieces,
- * limits and crashes as offsets from its own current time, and the decoder adds them to its own
- * current time.
+ * engine requests, limits and crashes as offsets from its own current time, and the decoder adds
+ * them to its own current time.
  */
 public final class PeerCodec {
 
@@ -116,16 +119,20 @@
         packStrings(packer, release.handles());
       } else if (message instanceof PeerMessage.PlaceRequest place) {
         packer.packInt(PLACE_REQUEST).packString(place.service());
-        packEngineRequest(packer, place.request());
+        packEngineRequest(packer, place.request(), now);
       } else if (message instanceof PeerMessage.PlaceResponse response) {
         packer
             .packInt(PLACE_RESPONSE)
             .packString(response.requestId())
             .packString(response.replicaId());
+        if (response.waiting() || response.millis() > 0) {
+          packer.packBoolean(response.waiting()).packLong(response.millis());
+        }
       } else if (message instanceof PeerMessage.PlacementUpdate update) {
         packer.packInt(PLACEMENT_UPDATE).packString(update.service());
         packer.packString(update.requestId()).packInt(update.state().ordinal());
         packer.packString(update.subject());
+        packResponseFacts(packer, update);
       } else if (message instanceof PeerMessage.Block block) {
         packer.packInt(BLOCK).packString(block.decision().subject());
         packer.packLong(block.decision().decidedMillis());
@@ -178,15 +185,16 @@
         case CANCEL -> new PeerMessage.Cancel(unpacker.unpackString());
         case RELEASE -> new PeerMessage.Release(list(unpacker, MessageUnpacker::unpackString));
         case PLACE_REQUEST ->
-            new PeerMessage.PlaceRequest(unpacker.unpackString(), engineRequest(unpacker));
-        case PLACE_RESPONSE ->
-            new PeerMessage.PlaceResponse(unpacker.unpackString(), unpacker.unpackString());
+            new PeerMessage.PlaceRequest(unpacker.unpackString(), engineRequest(unpacker, now));
+        case PLACE_RESPONSE -> placeResponse(unpacker);
         case PLACEMENT_UPDATE ->
             new PeerMessage.PlacementUpdate(
                 unpacker.unpackString(),
                 unpacker.unpackString(),
                 enumConstant(PeerMessage.RunState.values(), unpacker),
-                unpacker.hasNext() ? unpacker.unpackString() : "");
+                unpacker.hasNext() ? unpacker.unpackString() : "",
+                unpacker.hasNext() ? workObservation(unpacker) : Optional.empty(),
+                unpacker.hasNext() ? OptionalInt.of(unpacker.unpackInt()) : OptionalInt.empty());
         case BLOCK ->
             new PeerMessage.Block(
                 new BlockDecision(
@@ -219,6 +227,28 @@
         statedAt);
   }
 
+  /** Writes what the replica's response tells, as far as anything is known. */
+  private static void packResponseFacts(
+      MessageBufferPacker packer, PeerMessage.PlacementUpdate update) throws IOException {
+    if (update.observation().isPresent()) {
+      packer.packInt(update.observation().get().responseMillis());
+      packer.packInt(update.observation().get().workPercent());
+    } else if (update.statedRequests().isPresent()) {
+      packer.packNil();
+    }
+    if (update.statedRequests().isPresent()) {
+      packer.packInt(update.statedRequests().getAsInt());
+    }
+  }
+
+  private static Optional<WorkObservation> workObservation(MessageUnpacker unpacker)
+      throws IOException {
+    if (unpacker.tryUnpackNil()) {
+      return Optional.empty();
+    }
+    return Optional.of(new WorkObservation(unpacker.unpackInt(), unpacker.unpackInt()));
+  }
+
   private static CrashReport crashReport(MessageUnpacker unpacker, long now) throws IOException {
     return new CrashReport(
         unpacker.unpackString(),
@@ -440,17 +470,50 @@
     return values[ordinal];
   }
 
+  private static PeerMessage.PlaceResponse placeResponse(MessageUnpacker unpacker)
+      throws IOException {
+    String requestId = unpacker.unpackString();
+    String replicaId = unpacker.unpackString();
+    return unpacker.hasNext()
+        ? new PeerMessage.PlaceResponse(
+            requestId, replicaId, unpacker.unpackBoolean(), unpacker.unpackLong())
+        : new PeerMessage.PlaceResponse(requestId, replicaId);
+  }
+
   private static void packEngineRequest(
-      MessageBufferPacker packer, EnginePlacer.EngineRequest request) throws IOException {
+      MessageBufferPacker packer, EnginePlacer.EngineRequest request, long now) throws IOException {
     packer.packString(request.id()).packString(request.origin()).packLong(request.promptKey());
     packer.packLong(request.sharedTokens()).packLong(request.ownTokens());
     packer.packString(request.preferredDataCentre().map(DataCentre::value).orElse(""));
     packer.packLong(request.inputBytes());
     packStrings(packer, List.copyOf(request.excluded()));
     packStrings(packer, request.sharedParts());
+    if (request.demand().isPresent()) {
+      packDemand(packer, request.demand().get(), now);
+    }
+  }
+
+  private static void packDemand(MessageBufferPacker packer, EngineDemand demand, long now)
+      throws IOException {
+    packer.packString(demand.kind()).packString(demand.workspace()).packInt(demand.rank());
+    packer.packLong(demand.outputTokens()).packLong(demand.targetAt() - now);
+    packer.packLong(demand.deadline() - now);
+    packer.packBoolean(demand.returned()).packBoolean(demand.mayHaveRun());
+  }
+
+  private static EngineDemand demand(MessageUnpacker unpacker, long now) throws IOException {
+    return new EngineDemand(
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        unpacker.unpackInt(),
+        unpacker.unpackLong(),
+        now + unpacker.unpackLong(),
+        now + unpacker.unpackLong(),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean());
   }
 
-  private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker)
+  private static EnginePlacer.EngineRequest engineRequest(MessageUnpacker unpacker, long now)
       throws IOException {
     String id = unpacker.unpackString();
     String origin = unpacker.unpackString();
@@ -463,6 +526,8 @@
     // Instances of the version before do not send the parts.
     List<String> sharedParts =
         unpacker.hasNext() ? list(unpacker, MessageUnpacker::unpackString) : List.of();
+    Optional<EngineDemand> demand =
+        unpacker.hasNext() ? Optional.of(demand(unpacker, now)) : Optional.empty();
     return new EnginePlacer.EngineRequest(
         id,
         origin,
@@ -472,7 +537,8 @@
         ownTokens,
         preferred,
         inputBytes,
-        excluded);
+        excluded,
+        demand);
   }
 
   private static TableCopy.Row row(MessageUnpacker unpacker) throws IOException {
