Give up work that waits for a service whose replicas are all evacuated

Cause: new requests were rejected at once when no replica was left, but those that waited for an engine stayed until their deadline, and queued pieces too: a request whose second stage had no replica left was held for 2 s and more.

Change: EngineQueue rejects what waits if no replica is left (NO_REPLICA), PieceDispatcher drops the queued pieces of a service that is evacuated, so that their requests are rejected as not run.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineChooser.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineChooser.java
@@ -113,6 +113,8 @@
   enum Reason {
     /** A replica has room for it. */
     ROOM,
+    /** No replica is left, as when all are evacuated. */
+    NO_REPLICA,
     /** It cannot be answered before its deadline. */
     NO_TIME,
     /** It can no longer be in time, and others that wait can. */
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -205,6 +205,11 @@
     return (request.sharedTokens() + request.ownTokens()) / READ_TOKENS_PER_MILLI;
   }
 
+  /** Returns whether there is any replica that may be chosen, with room or not. */
+  boolean hasReplicas() {
+    return !engines.isEmpty();
+  }
+
   /** Returns whether a replica has a free slot and a permit, so that some request may fit. */
   boolean hasFreeReplica(long now) {
     return engines.values().stream()
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
@@ -263,7 +263,8 @@
 
   /**
    * Rejects waiting requests that cannot be served before their deadline, that can no longer be in
-   * time while others can, or that are too many. Requests that may have run stay.
+   * time while others can, or that are too many. Requests that may have run stay. If no replica is
+   * left, all are rejected.
    */
   private void rejectHopeless(List<Waiting> order, long now) {
     boolean anyInTime = order.stream().anyMatch(entry -> entry.inTime);
@@ -271,7 +272,9 @@
     for (Waiting entry : order) {
       entry.position = position;
       long waitNanos = Nanos.ofMillis(waitMillis(entry, now));
-      if (entry.demand().mayHaveRun()) {
+      if (!placer.hasReplicas()) {
+        finish(entry, EngineDecision.rejected(0), Reason.NO_REPLICA, now);
+      } else if (entry.demand().mayHaveRun()) {
         position++;
       } else if (now + waitNanos + entry.readNanos - entry.demand().deadline() > 0) {
         finish(entry, EngineDecision.rejected(0), Reason.NO_TIME, now);
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
@@ -250,4 +250,16 @@
     queue.onStatedLoad("a", 2, millis(1_000));
     assertFalse(settle(queue, millis(1_000)).isEmpty());
   }
+
+  /** Operators evacuate all data centres while requests wait. */
+  @Test
+  void waitingRequestsAreRejectedIfNoReplicaIsLeft() {
+    EngineQueue queue = queue(1, 1, MEMORY_TOKENS);
+    assertEquals(EngineDecision.State.PLACED, ask(queue, "first", 100, demand(1, 1_000), 0));
+    assertEquals(EngineDecision.State.WAITING, ask(queue, "second", 100, demand(1, 9_000), 0));
+    queue.replicas(List.of());
+    assertEquals(List.of("second NO_REPLICA"), settle(queue, millis(300)));
+    assertEquals(
+        EngineDecision.State.REJECTED, ask(queue, "third", 100, demand(1, 9_000), millis(300)));
+  }
 }
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/PieceDispatcher.java
@@ -503,9 +503,18 @@
     reportFailures(waiting, PieceOutcome.REASSIGNED);
   }
 
-  /** Drops expired pieces and sends the calls for which replicas have capacity. */
+  /**
+   * Drops expired pieces and sends the calls for which replicas have capacity. If all replicas are
+   * evacuated, all pieces are dropped, so that their requests are rejected at once.
+   */
   private void dispatchQueued(PieceBatcher batcher) {
     long now = loop.now();
+    if (batcher.waiting() > 0 && replicas.isEvacuated(batcher.service())) {
+      List<Piece> waiting = batcher.takeWaiting();
+      log.write("pieces-evacuated", "service", batcher.service(), "pieces", waiting.size());
+      reportFailures(waiting, PieceOutcome.FAILED);
+      return;
+    }
     List<Piece> expired = batcher.expire(now);
     for (Piece droppedPiece : expired) {
       log.write(
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/EvacuationTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/EvacuationTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.arbutusspar.io.http.RawCall;
 import org.arbutusspar.io.http.RawReply;
@@ -227,4 +228,19 @@
     assertEquals(200, reply.status());
     assertTrue(new String(reply.body(), UTF_8).contains("id: 3"));
   }
+
+  /** Stages that are in progress must not hold their requests until the deadline. */
+  @Test
+  void requestsWhoseStagesCannotGoOnAreRejectedAtOnce() throws IOException {
+    startAll();
+    store.putEvacuation(EVACUATED);
+    awaitNothingArrives();
+    worker.setPieceCallMillis(700);
+    worker.arrivals().clear();
+    CompletableFuture<RawReply> reply = sendWithOwnPrompt(instances.get(0), "/s/x");
+    await(() -> !worker.arrivals().isEmpty());
+    store.putEvacuation("a");
+    assertEquals(503, reply.orTimeout(2, TimeUnit.SECONDS).join().status());
+    assertTrue(noneArrived());
+  }
 }
