Bound the expected wait of a patient kind by that of the queue

A kind that goes last in the order and has little load left was told a wait of the distance to the next kind, 7 s for queues that were empty, and so was rejected (`no_time`); then its load stayed low.

Change: a piece waits for no more than twice the wait of the queue. A test replays the case; it fails without the change (3,070 ms instead of 200 for a queue of 100 ms).

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/WaitByUrgency.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/WaitByUrgency.java
@@ -25,6 +25,13 @@
   /** Time constant of the averages of load, in milliseconds. */
   private static final double AVERAGING_MILLIS = 10_000;
 
+  /**
+   * Maximum wait of a piece as a multiple of that of the queue. A patient piece waits for longer
+   * than the queue as it is, since urgent ones that arrive later go ahead of it. Where a kind has
+   * little load, as after most of it was rejected, its place in the order tells nothing about that.
+   */
+  private static final double MAX_WAIT_FACTOR = 2;
+
   private static final int MAX_KINDS = 256;
 
   private final Map<String, KindLoad> kinds = BoundedMaps.droppingOldest(MAX_KINDS);
@@ -78,7 +85,7 @@
       orderSum += kind.pieces(now) * kind.orderMillis;
       served = (orderSum - queueMillis * total) / pieces;
     }
-    return Math.max(0, orderMillis - served);
+    return Math.min(MAX_WAIT_FACTOR * queueMillis, Math.max(0, orderMillis - served));
   }
 
   /** Load of one kind: pieces submitted lately, and their place in the order. */
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/StageBurstTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/stage/StageBurstTest.java
@@ -71,6 +71,16 @@
     assertEquals(700, waits.waitMillis(3_600, 700, Nanos.ofMillis(60_000)), 5);
   }
 
+  /** A kind that was rejected has little load left; it must not be rejected for that. */
+  @Test
+  void shortQueueIsNoReasonToRejectKindWithLittleLoad() {
+    WaitByUrgency waits = WaitByUrgency.create();
+    waits.onRequest("urgent", 600, 99, 0);
+    waits.onRequest("patient", 3_600, 1, 0);
+    assertEquals(200, waits.waitMillis(3_600, 100, 0), 1);
+    assertEquals(0, waits.waitMillis(3_600, 0, 0), 1);
+  }
+
   @Test
   void clientRetriesKeepTheTargetOfTheirFirstAttempt() {
     assertEquals(2_500, StageAdmission.clientRetryTargetMillis(400, 4_000, 1_500));
