--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/SendPermits.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/SendPermits.java
@@ -1,7 +1,5 @@
 package org.arbutusspar.core.placement;
 
-import java.util.List;
-
 /** Permits that are needed to send requests to replicas. Times are monotonic, in nanoseconds. */
 public interface SendPermits {
 
@@ -17,27 +15,6 @@
         public void take(UpstreamReplica replica, long now) {}
       };
 
-  /**
-   * Returns permits that need those of several others.
-   *
-   * @param parts the others, not null
-   * @return permits that are available while all parts have one
-   */
-  static SendPermits allOf(SendPermits... parts) {
-    List<SendPermits> all = List.of(parts);
-    return new SendPermits() {
-      @Override
-      public boolean isAvailable(UpstreamReplica replica, long now) {
-        return all.stream().allMatch(part -> part.isAvailable(replica, now));
-      }
-
-      @Override
-      public void take(UpstreamReplica replica, long now) {
-        all.forEach(part -> part.take(replica, now));
-      }
-    };
-  }
-
   /**
    * Returns whether a request may be sent to a replica.
    *
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/Gateway.java
@@ -296,29 +296,12 @@
   }
 
   private void registerGauges() {
+    SnapshotGauges.register(metrics, () -> snapshot);
     metrics.gauge("arbutusspar_active_requests", "Requests that have not ended", clients::active);
     metrics.gauge(
         "arbutusspar_configuration_offset",
         "Offset of the configuration in force",
         () -> StorePosition.offset(stateOffset));
-    metrics.gauge(
-        "arbutusspar_waiting_pieces",
-        "Pieces that wait here for a call, for the requests of all instances",
-        () -> snapshot.waitingPieces());
-    metrics.gauge(
-        "arbutusspar_configuration_version",
-        "Version of the configuration in force, -1 if there is none",
-        () -> snapshot.configurationVersion());
-    metrics.gauges(
-        "arbutusspar_replicas",
-        "Listed replicas by state: usable, resting after failures, leaving",
-        "state",
-        () -> snapshot.replicasByState());
-    metrics.gauges(
-        "arbutusspar_queue_wait_milliseconds",
-        "Expected wait of a new piece, for each service gathered here",
-        "service",
-        () -> snapshot.queueWaitMillis());
     context
         .contention()
         .ifPresent(
@@ -336,56 +319,11 @@
                     "arbutusspar_held_bytes",
                     "Bytes of requests and responses that are held for clients and replicas",
                     held::bytes));
-    metrics.gauges(
-        "arbutusspar_repeats_left",
-        "Requests that may be sent to a service once more now",
-        "service",
-        () -> snapshot.retriesLeft());
-    metrics.gauges(
-        "arbutusspar_engine_queue_length",
-        "Requests that wait here for room at an engine, of all instances",
-        "service",
-        () -> snapshot.engineQueueLengths());
-    metrics.gauges(
-        "arbutusspar_engine_wait_milliseconds",
-        "Expected wait for room at an engine of a further request",
-        "service",
-        () -> snapshot.engineWaitMillis());
-    metrics.gauge(
-        "arbutusspar_blocked_prompt_parts",
-        "Prompt parts that crashed model engines, whose requests are rejected",
-        () -> snapshot.blockedPromptParts());
-    metrics.gauge(
-        "arbutusspar_blocked_requests",
-        "Requests that crashed replicas, whose repeats are rejected",
-        () -> snapshot.blockedRequests());
-    metrics.gauge(
-        "arbutusspar_limited_replicas",
-        "Replicas that limit the rate of the requests of all instances together",
-        () -> snapshot.limitedReplicas());
-    metrics.gauges(
-        "arbutusspar_paced_replicas",
-        "Replicas that have started or failed lately and get few requests from this instance",
-        "service",
-        () -> snapshot.pacedReplicas());
-    metrics.gauge(
-        "arbutusspar_cold_replicas",
-        "Replicas that are cold, for which requests are limited",
-        () -> snapshot.coldReplicas());
-    metrics.gauges(
-        "arbutusspar_evacuated_seconds",
-        "Time since this instance learned of the evacuation of a data centre",
-        "data_centre",
-        () -> snapshot.evacuatedSeconds());
     metrics.gauges(
         "arbutusspar_replica_speed_percent",
         "Speed of each replica relative to its service, at the instance that places its requests",
         "replica",
         () -> replicaSpeeds);
-    metrics.gauge(
-        "arbutusspar_configuration_behind_milliseconds",
-        "Time for which a live peer has had changes of the configuration that this instance lacks",
-        () -> snapshot.configurationBehindMillis());
     metrics.gauge(
         "arbutusspar_event_loop_lag_milliseconds",
         "Time that a task waited last for the event loop",
@@ -394,10 +332,6 @@
         "arbutusspar_ready",
         "1 if the instance takes requests of clients",
         () -> ready && !leaving ? 1 : 0);
-    metrics.gauge(
-        "arbutusspar_live_instances",
-        "Instances heard of lately, this one included",
-        () -> snapshot.liveInstances());
   }
 
   /**
