End a response at once whose client has failed

Cause: after a failed write the parts counted as being written, so that the end of the response waited until the loss of the client was noticed elsewhere, or the deadline. Found by review.

Change: the end no longer waits for parts that are dropped (test). Wording of three names and comments.

--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EngineQueue.java
@@ -214,7 +214,7 @@
     List<Waiting> order = inOrder(now);
     place(order, now);
     order.removeIf(entry -> !waiting.containsKey(entry.request.id()));
-    rejectHopeless(order, now);
+    rejectInfeasible(order, now);
   }
 
   private List<Waiting> inOrder(long now) {
@@ -266,7 +266,7 @@
    * time while others can, or that are too many. Requests that may have run stay. If no replica is
    * left, all are rejected.
    */
-  private void rejectHopeless(List<Waiting> order, long now) {
+  private void rejectInfeasible(List<Waiting> order, long now) {
     boolean anyInTime = order.stream().anyMatch(entry -> entry.inTime);
     int position = 1;
     for (Waiting entry : order) {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ObservedSpeeds.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ObservedSpeeds.java
@@ -8,8 +8,8 @@
 /**
  * Speeds of replicas as their chooser observes them. The speed has two parts: the lasting speed of
  * the machine, from how long work took, and the passing influence of others on that machine, which
- * the replica states. Work is measured without the passing part, so a neighbour that has left does
- * not count against the replica.
+ * the replica states. Work is measured without the passing part, so others that have left do not
+ * count against the replica.
  *
  * <p>Load pattern: replicas on machines of different speeds that they share with others, so that
  * work takes a multiple of its usual time now and then. Long work on a slow one misses the latency
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/StatePersistence.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/StatePersistence.java
@@ -5,7 +5,7 @@
  * followed each other: the weight of a figure is the regression slope of the later deviation from
  * the mean on the earlier one.
  *
- * <p>Load pattern: neighbours on the replicas' machines come and go within less than a second. Who
+ * <p>Load pattern: others on the replicas' machines come and go within less than a second. Who
  * believes a figure for longer avoids replicas that are fast again, and prefers others that no
  * longer are.
  */
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ResponseParts.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/ResponseParts.java
@@ -77,14 +77,14 @@
   /**
    * Ends the response.
    *
-   * @param now run by this method if all parts have been written
+   * @param now run by this method if no part waits, also after a failure
    * @param later run by another thread once all parts have been written, if some wait; not run
    *     after a failure
    * @return whether parts wait
    */
   boolean end(Runnable now, Runnable later) {
     synchronized (this) {
-      if (writing || !waiting.isEmpty()) {
+      if (!closed && (writing || !waiting.isEmpty())) {
         whenDrained = later;
         return true;
       }
--- a/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/ResponsePartsTest.java
+++ b/arbutusspar-entry/src/test/java/org/arbutusspar/entry/gateway/ResponsePartsTest.java
@@ -97,4 +97,13 @@
     assertEquals(0, heldBytes.bytes());
     assertEquals(2, acknowledged.get(), "nothing more is taken from the replica");
   }
+
+  /** A request must not stay active because its client's connection failed amid the response. */
+  @Test
+  void responseEndsAtOnceAfterItsClientHasFailed() {
+    write("a");
+    client.fail();
+    assertFalse(parts.end(ended::incrementAndGet, () -> {}));
+    assertEquals(1, ended.get());
+  }
 }
