--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/UpstreamAttempt.java
@@ -232,7 +232,8 @@
       acknowledge.run();
       return;
     }
-    boolean forwardable = response.valid() && !cancelled;
+    boolean mayBeRetried = response.notRun() || response.isReplicaFailure();
+    boolean forwardable = response.valid() && !cancelled && (tooLarge || !mayBeRetried);
     if (forwardable && exchange.startResponse(response.status(), response.fields())) {
       forwarding = true;
       bufferHold.ifPresent(HeldBytes.Hold::close);
