--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/EnginePlacer.java
@@ -407,7 +407,7 @@
    *     if it reads any
    * @param inputBytes size of those results in bytes
    * @param excluded identifiers of replicas that must not be chosen
-   * @param repeatable whether it may test a replica that has failed lately
+   * @param repeatable whether it may test a replica that has failed recently
    * @param demand what the request needs, and by when; empty if callers do not compete
    */
   public record EngineRequest(
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/PlainServiceLimit.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/PlainServiceLimit.java
@@ -144,7 +144,7 @@
    * Returns the expected wait of a request for a slot.
    *
    * @param now current time
-   * @return the wait in milliseconds, 0 if no queue has been stated lately
+   * @return the wait in milliseconds, 0 if no queue has been stated recently
    */
   public double waitMillis(long now) {
     if (isStale(now)) {
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ServedShares.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/ServedShares.java
@@ -5,8 +5,8 @@
 import org.arbutusspar.core.Nanos;
 
 /**
- * Shares of the requests of groups, such as kinds or workspaces, that were served lately. Times are
- * monotonic, in nanoseconds.
+ * Shares of the requests of groups, such as kinds or workspaces, that were served recently. Times
+ * are monotonic, in nanoseconds.
  */
 final class ServedShares {
 
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WaitForecast.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/placement/WaitForecast.java
@@ -5,7 +5,7 @@
 
 /**
  * Forecasts how long requests wait for room at replicas of one service, from how long requests stay
- * there and from how many were placed lately. Requests that will be late get only the room that
+ * there and from how many were placed recently. Requests that will be late get only the room that
  * others leave. It also dates the return of clients whose requests are rejected, so that they do
  * not come back before there is room for them. Times are monotonic, in nanoseconds.
  */
@@ -35,7 +35,7 @@
   private Placed period = new Placed();
   private Placed previousPeriod = new Placed();
 
-  /** Dates at which rejected clients were told to return, the earliest first. */
+  /** Dates at which rejected clients were instructed to return, the earliest first. */
   private final PriorityQueue<Long> returnDates = new PriorityQueue<>();
 
   private WaitForecast() {}
--- a/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/WaitByUrgency.java
+++ b/arbutusspar-core/src/main/java/org/arbutusspar/core/stage/WaitByUrgency.java
@@ -88,7 +88,7 @@
     return Math.min(MAX_WAIT_FACTOR * queueMillis, Math.max(0, orderMillis - served));
   }
 
-  /** Load of one kind: pieces submitted lately, and their place in the order. */
+  /** Load of one kind: pieces submitted recently, and their place in the order. */
   private static final class KindLoad {
     private double pieces;
     private double orderMillis;
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueReplay.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueReplay.java
@@ -13,8 +13,7 @@
 
 /**
  * Replays requests of three kinds against a chooser: 36 places at four engines, which the usual
- * load fills to two thirds. Clients whose requests are rejected return as they are told, or at
- * once.
+ * load fills to two thirds. Clients whose requests are rejected return when instructed, or at once.
  */
 final class EngineQueueReplay {
 
--- a/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
+++ b/arbutusspar-core/src/test/java/org/arbutusspar/core/placement/EngineQueueTest.java
@@ -86,7 +86,7 @@
   }
 
   /**
-   * Bursts of each kind alone and of all kinds, with clients that return as they are told or at
+   * Bursts of each kind alone and of all kinds, with clients that return when instructed or at
    * once, against the placer without a queue.
    */
   @ParameterizedTest
--- a/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
+++ b/arbutusspar-entry/src/main/java/org/arbutusspar/entry/gateway/StateSnapshot.java
@@ -23,8 +23,8 @@
  * @param coldReplicas number of cold replicas
  * @param evacuatedSeconds time since this instance learned of each evacuation in seconds, by name
  *     of the data centre
- * @param pacedReplicas number of replicas that have started or failed lately and are paced, by name
- *     of the service
+ * @param pacedReplicas number of replicas that have started or failed recently and are paced, by
+ *     name of the service
  * @param configurationBehindMillis time for which a live peer has had changes of the configuration
  *     that this instance lacks, in milliseconds, 0 if there is none
  */
