--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -533,14 +533,26 @@
     }
 
     /** Resets all connections and ends; nothing more is sent, also not to the store. */
-    void crash() throws IOException {
+    synchronized void crash() throws IOException {
+      if (crashed) {
+        return;
+      }
       crashed = true;
       replicas.remove(this);
       server.close();
       for (Socket socket : connections) {
-        socket.setSoLinger(true, 0);
-        socket.close();
+        if (!socket.isClosed()) {
+          socket.setSoLinger(true, 0);
+          socket.close();
+        }
       }
+      daemon("expiry-" + id, this::expire);
+    }
+
+    /** The store removes an entry after three heartbeat intervals of silence. */
+    private void expire() {
+      sleep(3 * HEARTBEAT_MS);
+      store.put("keyed.servers", id, "");
     }
 
     private void serveConnection(Socket socket) throws Exception {
