--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [ -f target/arbutusspar.jar ] && [ -f target/review-2/Rig.class ] || exit 2
-exec java -Xmx768m -cp target/review-2 Silence review/6/record.txt
+exec java -Xmx768m -cp target/review-2 Parts review/6/record.txt
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -52,8 +52,7 @@
   Rig(Path recordFile) throws IOException {
     work = Files.createTempDirectory("review-2-");
     record = new PrintWriter(Files.newBufferedWriter(recordFile));
-    // An address block of its own keeps the fixed metrics port apart from other runs.
-    network = "127." + (20 + (int) (ProcessHandle.current().pid() % 200)) + ".7.";
+    network = freeNetwork();
     clientPort = freePorts(network + "1", 3);
     linkPort = freePorts(network + "1", 16);
     command = deployCommand();
@@ -104,6 +103,9 @@
       startInstance(i);
     }
     if (!awaitReady(20_000)) {
+      for (Instance instance : instances) {
+        note("instance %d alive: %s", instance.number, instance.process.isAlive());
+      }
       throw new IOException("instances are not ready");
     }
     sleep(3_000);
@@ -119,6 +121,19 @@
     throw new IOException("deploy/system.toml has no run command");
   }
 
+  /** Returns a block of addresses on which the metrics port, which is fixed, is free. */
+  static String freeNetwork() throws IOException {
+    for (int i = 0; i < 200; i++) {
+      String block = "127." + (20 + (int) ((ProcessHandle.current().pid() + i) % 200)) + ".7.";
+      try (ServerSocket first = new ServerSocket(9464, 1, InetAddress.getByName(block + "1"))) {
+        return block;
+      } catch (IOException e) {
+        // Another run uses the block.
+      }
+    }
+    throw new IOException("no free block of addresses");
+  }
+
   /** Returns the first of some consecutive ports that are free. */
   static int freePorts(String address, int count) throws IOException {
     for (int port = 18_000 + (int) (Math.random() * 10_000); port < 32_000; port += count) {
